--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,132 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"starlingreach/policy"
+)
+
+// Settings are the start-up settings of an instance, by path.
+type Settings struct {
+	values map[string]string
+	err    error // the first value that could not be read
+}
+
+// ParseSettings reads path=value lines. Unknown keys are kept and passed over.
+func ParseSettings(info []byte) (*Settings, error) {
+	s := &Settings{values: make(map[string]string, 128)}
+	for n, line := range bytes.Split(info, []byte{'\n'}) {
+		if line = bytes.TrimSpace(line); len(line) == 0 {
+			continue
+		}
+		key, value, ok := strings.Cut(string(line), "=")
+		if !ok {
+			return nil, fmt.Errorf("settings line %d: no '=' in %.60q", n+1, line)
+		}
+		s.values[key] = value
+	}
+	return s, nil
+}
+
+func (s *Settings) text(key string) string { return s.values[key] }
+
+func (s *Settings) flag(key string) bool { return s.values[key] == "true" }
+
+func (s *Settings) number(key string, absent float64) float64 {
+	v, ok := s.values[key]
+	if !ok || v == "" {
+		return absent
+	}
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil && s.err == nil {
+		s.err = fmt.Errorf("settings: %s: %w", key, err)
+	}
+	return f
+}
+
+func (s *Settings) count(key string) int {
+	const most = 1 << 16 // far above any real list; a guard against a broken figure
+	n := s.number(key, 0)
+	if (n < 0 || n > most || n != float64(int(n))) && s.err == nil {
+		s.err = fmt.Errorf("settings: %s: %v is not a count", key, n)
+		return 0
+	}
+	return int(n)
+}
+
+// InFlightColumn tells where in a load report the number of requests held stands; -1 where absent.
+func (s *Settings) InFlightColumn() int {
+	for i, name := range strings.Split(s.text("telemetry.columns"), ",") {
+		if name == "busy_reqs" {
+			return i
+		}
+	}
+	return -1
+}
+
+// Load takes the number of requests held out of that column; it is negative where absent.
+func (r Report) Load(column int) policy.Load {
+	if column < 0 || column >= r.N {
+		return policy.Load{InFlight: -1}
+	}
+	return policy.Load{InFlight: float64(r.Values[column])}
+}
+
+// Config turns the settings into the module's own.
+func (s *Settings) Config() (policy.Config, error) {
+	c := policy.Config{
+		Balancers:      s.count("balancers"),
+		Zone:           s.count("zone"),
+		MaxAttempts:    s.count("caps.most_tries"),
+		MayCancel:      s.flag("caps.may_cancel"),
+		MayProbe:       s.flag("caps.probes"),
+		Reports:        s.flag("caps.probes") && s.text("telemetry.how") != "silent",
+		MaxRetryAfter:  Millis(s.number("caps.max_retry_after_ms", 0)),
+		MarksRepeat:    s.flag("client_habits.marks_retry"),
+		Tick:           Millis(s.number("period_ms", 0)),
+		AskList:        s.text("discovery") == "ask",
+		AskWithin:      Millis(s.number("rules.ask_within_ms", 0)),
+		ColdFrom:       s.number("rules.cold_from", 0),
+		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
+		ColdMultiple:   s.number("rules.fall_multiple", 0),
+		ProbePrice:     s.number("charges.probe", 0),
+		CrossZonePrice: s.number("charges.cross_zone", 0),
+	}
+	for i := range s.count("classes.count") {
+		p := fmt.Sprintf("classes.%d.", i)
+		k := policy.Class{
+			Aim:        Millis(s.number(p+"aim_ms", 0)),
+			AimStretch: s.number(p+"aim_stretch", 0),
+			Deadline:   Millis(s.number(p+"hard_limit_ms", 0)),
+			LateShare:  s.number(p+"late_share", 0),
+			Worth:      s.number(p+"worth", 0),
+			Window:     Millis(s.number(p+"window_ms", 0)),
+			Effect:     policy.Unsafe, // an unknown word is taken for the strictest
+			Scope:      policy.ScopeCell,
+		}
+		switch s.text(p + "semantics") {
+		case "free":
+			k.Effect = policy.Safe
+		case "guarded":
+			k.Effect = policy.Keyed
+		}
+		switch s.text(p + "dedup_scope") {
+		case "all":
+			k.Scope = policy.ScopeAll
+		case "zone":
+			k.Scope = policy.ScopeZone
+		}
+		c.Classes = append(c.Classes, k)
+	}
+	for i := range s.count("orgs.count") {
+		p := fmt.Sprintf("orgs.%d.", i)
+		c.Tenants = append(c.Tenants, policy.Tenant{
+			Share: s.number(p+"share", 0),
+			Quota: s.number(p+"quota_per_s", 0),
+		})
+	}
+	return c, s.err
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,185 @@
+// Package policy decides, for one client-side load balancer (a sidecar), when
+// and where each request is sent, sent again, refused or failed.
+//
+// A Balancer is single-threaded and deterministic: it has no goroutines, no
+// clock and no I/O. The program that embeds it calls one method per event and
+// passes the time; the Balancer answers through the Host it was given. This
+// file is the interface; every decision is in policy.go.
+package policy
+
+import "time"
+
+// RequestID names a request; the host picks it and never uses one twice.
+type RequestID uint64
+
+// ServerID names a server; it stays the same when the server restarts.
+type ServerID uint64
+
+// Effect says what repeating a request of a class may do.
+type Effect int
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may be repeated and refused at will
+	Keyed                // repeats are dropped within a group of servers, for a while
+	Unsafe               // must never run twice
+)
+
+// Scope is the group of servers that drops repeats of a keyed request.
+type Scope int
+
+// The scopes of a keyed class.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class describes one kind of request.
+type Class struct {
+	Aim        time.Duration // answers within this earn full worth
+	AimStretch float64       // the aim grows by this multiple of the request's expected work
+	Deadline   time.Duration // the client's whole wait, over all its tries
+	LateShare  float64       // share of the worth that an answer after the aim still earns
+	Worth      float64
+	Effect     Effect
+	Scope      Scope         // keyed only
+	Window     time.Duration // keyed only: how long repeats are dropped, from the first send on
+}
+
+// Tenant is one customer with a share of the service.
+type Tenant struct {
+	Share float64 // share of the service, set against the other tenants' shares
+	Quota float64 // requests a second within its share over all balancers; 0 where unknown
+}
+
+// Config holds the settings a Balancer starts with; it does not change them.
+type Config struct {
+	Balancers int // balancers that send to the same servers, this one included
+	Zone      int // the zone this balancer is in
+	Classes   []Class
+	Tenants   []Tenant // may be empty: then there is one, number 0
+
+	Slots int // slots of this balancer over all compartments; 0 derives them from the rest
+
+	MaxAttempts   int           // attempts for one request at most
+	MayCancel     bool          // Host.Cancel may be used
+	MayProbe      bool          // Host.Probe may be used
+	Reports       bool          // probes bring load reports
+	MaxRetryAfter time.Duration // the longest pause that clients heed
+	MarksRepeat   bool          // clients mark their own further tries: Request.Repeat
+
+	Tick time.Duration // events come at most this often
+
+	AskList   bool          // the server list must be asked for
+	AskWithin time.Duration // without asking this long, a change counts as told; 0: not known
+
+	ColdFrom     float64       // a server starts with at least this share of its capacity
+	ColdTime     time.Duration // and has all of it after this
+	ColdMultiple float64       // sent more than this multiple of what it can do at that moment, it falls over
+
+	ProbePrice     float64 // price of a probe for each request, against a worth of 1
+	CrossZonePrice float64 // price of an attempt that leaves the zone, against a worth of 1
+}
+
+// State is what the server list says of a server.
+type State int
+
+// The states of a server.
+const (
+	Gone State = iota
+	Draining
+	Ready
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID      ServerID
+	Zone    int
+	Cell    int // servers of one cell share the keys they have seen
+	State   State
+	Weight  float64       // nominal size, set against the other servers' weights
+	Started time.Duration // time of its last start; 0 means long ago
+}
+
+// ListKind says how the entries of a list event apply.
+type ListKind int
+
+// The kinds of list events.
+const (
+	ListFull   ListKind = iota // all servers; one that is absent has left
+	ListDelta                  // only changed entries
+	ListCached                 // all servers as last known, maybe old
+	ListFailed                 // the call failed or the subscription broke; no entries
+)
+
+// Request is one client request.
+type Request struct {
+	ID     RequestID
+	Class  int
+	Tenant int
+	Left   time.Duration // until the client gives up
+	Work   time.Duration // expected work; 0 where unknown
+	Repeat bool          // known to be a client's own further try
+}
+
+// Ending says how an attempt ended.
+type Ending int
+
+// The endings of an attempt. TurnedAway, NoConnection and NotSent prove that
+// it never ran; every other one but Served means that it may have run, and so
+// does a value not listed here.
+const (
+	Served Ending = iota
+	Errored
+	TurnedAway
+	TimedOut
+	NoConnection
+	Broken
+	Cancelled
+	NotSent
+)
+
+// Outcome is the end of one attempt.
+type Outcome struct {
+	ID      RequestID
+	Attempt int // numbered from 0 in the order of Host.Send for this request
+	Ending  Ending
+	Settled bool // the request is over; nothing more is owed for it
+}
+
+// Load is what a server reports of itself. A negative number is unknown.
+type Load struct {
+	InFlight float64 // requests it holds
+}
+
+// Host carries out what the Balancer decides. Its methods must not call back
+// into the Balancer.
+type Host interface {
+	// Send starts the next attempt of a request, given up after timeout.
+	Send(id RequestID, to ServerID, timeout time.Duration)
+	// Refuse ends a request; trying again is harmless, best after the pause.
+	Refuse(id RequestID, pause time.Duration)
+	// Fail ends a request with no promise about its effect.
+	Fail(id RequestID)
+	// Cancel calls off one attempt; its Outcome still comes.
+	Cancel(id RequestID, attempt int)
+	// Wake asks for a call of Balancer.Wake after d.
+	Wake(d time.Duration)
+	// Probe asks a server for a load report; Balancer.Probed brings it.
+	Probe(to ServerID)
+	// WatchList subscribes to the server list; Balancer.List brings changes.
+	WatchList()
+}
+
+// Counters tell what a Balancer did since it was made.
+type Counters struct {
+	Ordinary uint64 // turns given by the ordinary path: a slot, and the server whose turn it was; two for a knock
+	Knocked  uint64 // sends to the first or least loaded of the servers probed for the request
+	Passed   uint64 // turns moved on past a server that held its portion or was judged unwell
+	Trials   uint64 // turns of a server judged unwell
+	Shed     uint64 // requests refused at once: late, or too few of the last were answered within their aim
+	Retries  uint64 // further attempts after one that failed
+	Refused  uint64
+	Failed   uint64
+}
--- /dev/null
+++ b/policy/helpers_test.go
@@ -0,0 +1,145 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// sent is one attempt that a test host was asked to start.
+type sent struct {
+	id      RequestID
+	to      ServerID
+	timeout time.Duration
+}
+
+// fakeHost records the actions of a Balancer.
+type fakeHost struct {
+	sends     []sent
+	refused   map[RequestID]time.Duration
+	failed    map[RequestID]bool
+	cancelled []RequestID
+	wakes     []time.Duration
+	probes    []ServerID
+	asks      int
+	trace     []string
+}
+
+func newFakeHost() *fakeHost {
+	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+}
+
+func (h *fakeHost) note(format string, args ...any) {
+	h.trace = append(h.trace, fmt.Sprintf(format, args...))
+}
+
+func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
+	h.sends = append(h.sends, sent{id, to, timeout})
+	h.note("send %d %d %v", id, to, timeout)
+}
+
+func (h *fakeHost) Refuse(id RequestID, pause time.Duration) {
+	h.refused[id] = pause
+	h.note("refuse %d %v", id, pause)
+}
+
+func (h *fakeHost) Fail(id RequestID) {
+	h.failed[id] = true
+	h.note("fail %d", id)
+}
+
+func (h *fakeHost) Cancel(id RequestID, attempt int) {
+	h.cancelled = append(h.cancelled, id)
+	h.note("cancel %d %d", id, attempt)
+}
+
+func (h *fakeHost) Wake(d time.Duration) {
+	h.wakes = append(h.wakes, d)
+	h.note("wake %v", d)
+}
+
+func (h *fakeHost) Probe(to ServerID) {
+	h.probes = append(h.probes, to)
+	h.note("probe %d", to)
+}
+
+func (h *fakeHost) WatchList() {
+	h.asks++
+	h.note("watch")
+}
+
+// sentTo counts the attempts sent to a server.
+func (h *fakeHost) sentTo(id ServerID) int {
+	n := 0
+	for _, s := range h.sends {
+		if s.to == id {
+			n++
+		}
+	}
+	return n
+}
+
+// The classes of testConfig.
+const (
+	safeClass = iota
+	keyedAll
+	keyedZone
+	keyedCell
+	unsafeClass
+)
+
+func testConfig() Config {
+	class := func(e Effect, s Scope) Class {
+		return Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: e, Scope: s, Window: 700 * ms}
+	}
+	return Config{
+		Balancers: 2,
+		Classes: []Class{
+			class(Safe, ScopeAll), class(Keyed, ScopeAll), class(Keyed, ScopeZone), class(Keyed, ScopeCell),
+			class(Unsafe, ScopeAll),
+		},
+		Tenants:       []Tenant{{Share: 0.75, Quota: 75}, {Share: 0.25, Quota: 25}},
+		Slots:         8,
+		MaxAttempts:   3,
+		MayCancel:     true,
+		MaxRetryAfter: time.Second,
+		Tick:          5 * ms,
+		AskWithin:     10 * time.Second,
+		ColdFrom:      0.3,
+		ColdTime:      8 * time.Second,
+		ColdMultiple:  3,
+	}
+}
+
+func ready(ids ...ServerID) []Server {
+	var list []Server
+	for _, id := range ids {
+		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+	}
+	return list
+}
+
+// start makes a Balancer that holds a list of servers.
+func start(t testing.TB, cfg Config, list []Server) (*Balancer, *fakeHost) {
+	t.Helper()
+	h := newFakeHost()
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatalf("New: %v", err)
+	}
+	b.Start(0)
+	b.List(0, ListFull, list)
+	return b, h
+}
+
+// ask hands in a request of tenant 0.
+func ask(b *Balancer, now time.Duration, id RequestID, class int) {
+	b.Request(now, Request{ID: id, Class: class, Left: 2 * time.Second})
+}
+
+// end ends an attempt of a request.
+func end(b *Balancer, now time.Duration, id RequestID, attempt int, e Ending) {
+	b.Outcome(now, Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == Served})
+}
--- /dev/null
+++ b/policy/pages_test.go
@@ -0,0 +1,32 @@
+package policy
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"testing"
+)
+
+// The on-call page may name no counter that is not there, and must name every one.
+func TestOnCallPageNamesTheCounters(t *testing.T) {
+	page, err := os.ReadFile("../docs/oncall.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := map[string]bool{"SlotsFree": true, "QueueFree": true, "Share": true, "Slots": true, "ColdTime": true}
+	counters := reflect.TypeFor[Counters]()
+	for i := range counters.NumField() {
+		known[counters.Field(i).Name] = false
+	}
+	for _, m := range regexp.MustCompile("`([A-Z][A-Za-z]+)`").FindAllSubmatch(page, -1) {
+		if _, ok := known[string(m[1])]; !ok {
+			t.Errorf("the page names %s, which does not exist", m[1])
+		}
+		known[string(m[1])] = true
+	}
+	for name, named := range known {
+		if !named {
+			t.Errorf("the page does not name %s", name)
+		}
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,589 @@
+// The interface (types, events, actions) is api.go; every decision is here, in
+// this order: start, events, compartments, the gate that all sends pass,
+// server choice, server health, server list, load reports, endings.
+
+package policy
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	busyTick = 10 * time.Millisecond  // how often open requests are looked at
+	idleTick = 100 * time.Millisecond // and the rest when none is open
+
+	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (deriveSlots)
+	spread      = 2.0  // and this many standard deviations of such a count more
+	heavyShare  = 2.0  // one balancer may carry this multiple of an even part of the traffic
+	serverSlots = 3.0  // slots for each server first listed, where no quota is known
+	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
+
+	thinRate   = 1.0             // own requests a second for each server; below, traffic is thin
+	knocks     = 2               // servers asked at once: the second choice brings most of the gain
+	crowdedAt  = 0.3             // a server that takes this share of the aim to answer a knock is crowded
+	knockPrior = 10.0            // requests taken to have gone well, in weighing what a knock may cost
+	shedMemory = 2 * time.Second // about a deadline: a jam's way in and out
+	shedSharp  = 12.0            // how nearly all must go well for more to pass: 1.3 times at nine tenths
+	shedSlack  = 0.5             // passed in any case: fewer tell nothing
+	probeEvery = 2               // requests for each load report asked for, where traffic is not thin
+	coldPart   = 0.5             // of a cold server's budget this much is used, the rest is left to chance
+
+	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again, or the
+	lastPause  = 4 * time.Second        // list asked for; doubled after each failure up to this
+)
+
+// New makes a Balancer, or returns an error that names the unusable field.
+func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
+	if err := check(cfg); err != nil {
+		return nil, err
+	}
+	if len(cfg.Tenants) == 0 {
+		cfg.Tenants = []Tenant{{Share: 1}}
+	}
+	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request)}
+	b.parts = make([]compartment, len(cfg.Tenants))
+	b.rng = rand.New(rand.NewPCG(seed, 0))
+	for _, c := range cfg.Classes {
+		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
+		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
+	}
+	b.pace = time.Duration(b.aim / 8 * float64(time.Second))
+	b.deriveSlots()
+	return b, nil
+}
+
+// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time
+// slots: the quotas, times a small share of the mean aim, so that most of it is
+// left for what goes wrong. Traffic is uneven: each balancer gets twice its even
+// part, and two standard deviations (Poisson), so as not to refuse on chance.
+func (b *Balancer) deriveSlots() {
+	shares := 0.0
+	for _, t := range b.cfg.Tenants {
+		shares += t.Share
+		b.quota += t.Quota
+	}
+	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
+	total, room := b.mean*min(1, heavyShare/float64(b.cfg.Balancers)), spread
+	if b.cfg.Slots > 0 {
+		total, room = float64(b.cfg.Slots), 0
+	}
+	b.slots = 0
+	for i, t := range b.cfg.Tenants {
+		c, mean := &b.parts[i], total*t.Share/shares
+		c.slots = max(1, int(math.Ceil(mean+room*math.Sqrt(mean))))
+		c.places = int(math.Ceil(float64(c.slots) * placesShare))
+		b.slots += c.slots
+	}
+}
+
+// Start begins the Balancer's life; it must be the first event.
+func (b *Balancer) Start(now time.Duration) {
+	if b.cfg.AskList {
+		b.ask(now)
+	}
+	b.wake(now, idleTick)
+}
+
+// Request takes a request on. It is answered exactly once, by an Outcome that
+// settles it or through the Host, before its time left is up. An id that is
+// still held is passed over; an unknown class or tenant, or no time left, is
+// refused at once.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	if _, held := b.requests[q.ID]; held {
+		return
+	}
+	if q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts) || q.Left <= 0 {
+		b.count.Refused++
+		b.host.Refuse(q.ID, 0)
+		return
+	}
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
+	r.deadline = now + min(q.Left, time.Hour)
+	begun := now // of the client's first try; a later one comes with less time left than others lately
+	r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
+	if (q.Repeat || !b.cfg.MarksRepeat) && q.Left < r.class.longest-2*busyTick {
+		begun = min(now, r.deadline-r.class.Deadline)
+	}
+	r.aimAt = min(r.deadline, begun+r.class.Aim+time.Duration(r.class.AimStretch*float64(q.Work)))
+	if r.useful = r.aimAt; r.class.LateShare > 0 || (r.class.AimStretch > 0 && q.Work == 0) {
+		r.useful = r.deadline
+	}
+	b.requests[r.id] = r
+	b.open = append(b.open, r)
+	b.wake(now, busyTick)
+	b.probe()
+	late := now > r.lateIn() // or as good as: it takes nothing from others
+	if late {
+		r.useful, r.aimAt = r.deadline, r.deadline
+	}
+	if b.thin && (late || b.shed(now, r)) {
+		b.count.Shed++
+		b.finish(r)
+		return
+	}
+	switch {
+	case b.dispatch(now, r):
+	case late || len(r.home.queue) >= r.home.places:
+		b.finish(r) // full: refuse promptly
+	default:
+		r.home.queue = append(r.home.queue, r)
+	}
+}
+
+// Outcome takes the end of an attempt. What is unknown or came before is passed over.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].state != inFlight {
+		return
+	}
+	a := &r.attempts[o.Attempt]
+	a.state = mayHaveRun
+	if o.Ending == TurnedAway || o.Ending == NoConnection || o.Ending == NotSent {
+		a.state = neverRan
+	}
+	a.to.out--
+	r.out--
+	r.home.used--
+	b.judge(now, r, a, o.Ending)
+	if o.Ending == Served && !r.over && now <= r.aimAt {
+		b.good++
+	}
+	switch {
+	case r.over && r.out == 0:
+		delete(b.requests, r.id)
+	case !r.over && (o.Settled || o.Ending == Served || r.begun):
+		b.settle(r)
+	case !r.over && r.out == 0:
+		b.further(now, r)
+	}
+	b.feed(now)
+}
+
+// ClientGone takes that a client quit: nothing more is owed for the request.
+func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil && !r.over {
+		b.settle(r)
+		b.feed(now)
+	}
+}
+
+// StreamBegun takes that a request's answer has begun to stream: the client owns it now.
+func (b *Balancer) StreamBegun(id RequestID) {
+	if r := b.requests[id]; r != nil {
+		r.begun = true
+	}
+}
+
+// Wake takes that a time asked for with Host.Wake has come.
+func (b *Balancer) Wake(now time.Duration) {
+	if now < b.wakeAt {
+		return // an older timer
+	}
+	if b.cfg.AskList && b.askAt > 0 && now >= b.askAt {
+		b.ask(now)
+	}
+	b.feed(now)
+	soon := now + 2*max(busyTick, b.cfg.Tick)
+	for _, r := range b.open {
+		if r.knocking && now >= r.goAt {
+			b.enterBest(now, r)
+		}
+		waited := r.out == 0 && (soon > r.deadline || now >= r.lateIn() || !r.mayRepeat(now, nil))
+		if !r.over && !r.begun && (waited || now >= r.deadline) {
+			b.finish(r)
+		}
+	}
+	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
+	b.wakeAt = 0
+	if len(b.open) > 0 {
+		b.wake(now, busyTick)
+	}
+	b.wake(now, idleTick)
+}
+
+// shed says whether to refuse a request at once: a wall of less than a slot. Where
+// servers are jammed, clients' further tries and work nobody waits for keep them so,
+// and even one slot a balancer is too many. Each lets through a multiple of what was
+// answered within its aim lately, so that the fleet can rest, and all comes back.
+func (b *Balancer) shed(now time.Duration, r *request) bool {
+	fade := math.Exp(-float64(now-b.fadedAt) / float64(shedMemory))
+	b.fadedAt = now
+	b.good, b.tried, b.asked, b.cheap = b.good*fade, b.tried*fade, b.asked*fade, b.cheap*fade
+	room := b.good * (1 + math.Pow(b.good/max(b.tried, b.good, 1), shedSharp))
+	pass := (shedSlack + room) / (b.asked + shedSlack)
+	r.cheap = 1 / max(r.class.Worth, 1e-9)
+	r.shed = pass < 1 && // the exponent is set against its mean, so that no more is shed than meant
+		b.rng.Float64() > math.Pow(pass, r.cheap*(b.asked+1)/(b.cheap+r.cheap))
+	return r.shed
+}
+
+// lateIn is when a wait stops being worth it: servers would work for answers that come late.
+func (r *request) lateIn() time.Duration { return r.aimAt - min(2*r.class.pace, r.class.Aim/2) }
+
+// dispatch sends a request if a slot of its compartment and a server are free.
+func (b *Balancer) dispatch(now time.Duration, r *request) bool {
+	if r.home.used >= r.home.slots {
+		return false
+	}
+	s := b.pick(now, r)
+	// Probes have a price: as long as less goes wrong than they cost, the turn alone decides.
+	if s != nil && b.thin && 1+b.asked-b.good > knocks*b.cfg.ProbePrice*(b.asked+knockPrior) {
+		return b.knock(now, r, s)
+	}
+	return s != nil && b.send(now, r, s)
+}
+
+// knock asks the server whose turn it is, and the next, for a sign of life, and
+// holds the request in its slot meanwhile: where own traffic is thin nothing
+// else tells a jammed or silent server from a good one in time.
+func (b *Balancer) knock(now time.Duration, r *request, s *server) bool {
+	r.home.used++
+	r.knocking, r.best, r.unheard = true, nil, 0
+	r.goAt = now + time.Duration(crowdedAt*float64(r.class.Aim)) // no answer by then: crowded
+	for ; s != nil; s = b.pick(now, r) {
+		r.knocked = append(r.knocked, s)
+		s.door = append(s.door, r)
+		b.host.Probe(s.ID)
+		if r.unheard++; r.unheard == knocks {
+			break
+		}
+	}
+	return true
+}
+
+// Probed takes the result of a probe: for its load report, and for the request that knocked.
+func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
+	s := b.server(id)
+	if s != nil && ok && l.InFlight >= 0 {
+		s.toldAt, s.others = now, max(0, l.InFlight-float64(s.out))
+	}
+	if s == nil || len(s.door) == 0 {
+		return
+	}
+	r := s.door[0]
+	s.door = s.door[1:]
+	if !ok { // what is held against it only an answer to a request takes back
+		b.strike(now, s)
+	}
+	if r.knocking {
+		load := (1 + max(0, l.InFlight)) / (s.Weight * b.warmth(now, s))
+		if r.unheard--; ok && (r.best == nil || load < r.bestLoad) {
+			r.best, r.bestLoad, r.goAt = s, load, now
+			if l.InFlight >= 0 { // the other may be less loaded: it gets a moment more
+				r.goAt = now + 2*b.cfg.Tick
+				b.wake(now, 2*b.cfg.Tick)
+			}
+		}
+		if r.unheard == 0 || now >= r.goAt {
+			b.enterBest(now, r)
+		}
+	}
+	b.feed(now)
+}
+
+// enterBest sends a request to the best server that answered its knock; where none did it knocks elsewhere.
+func (b *Balancer) enterBest(now time.Duration, r *request) {
+	r.knocking = false
+	r.home.used--
+	if r.best == nil || now >= r.lateIn() || !b.send(now, r, r.best) {
+		b.further(now, r)
+		return
+	}
+	r.unheard = 0
+	b.count.Knocked++
+}
+
+// further gives a request whose attempts have all failed another one, or ends it.
+func (b *Balancer) further(now time.Duration, r *request) {
+	switch tries := max(len(r.attempts), len(r.knocked)/knocks); {
+	case r.unheard > 0 || tries >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn():
+		b.finish(r)
+	case !b.dispatch(now, r):
+		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
+	}
+}
+
+// feed gives free slots to what waits, one compartment after the other.
+func (b *Balancer) feed(now time.Duration) {
+	b.feedFrom = (b.feedFrom + 1) % len(b.parts)
+	for i := range b.parts {
+		c := &b.parts[(b.feedFrom+i)%len(b.parts)]
+		for n := 0; n < len(c.queue) && c.used < c.slots; {
+			switch r := c.queue[n]; {
+			case now >= r.lateIn():
+				b.finish(r) // which takes it out of the queue
+			case b.dispatch(now, r):
+				c.queue = slices.Delete(c.queue, n, n+1)
+			default:
+				n++ // it may be bound to where it has been: it must not hold up the others
+			}
+		}
+	}
+}
+
+// mayRepeat says whether the class allows an attempt now, on a server or (nil)
+// on some server: what may have run must be dropped there if it comes again.
+func (r *request) mayRepeat(now time.Duration, s *server) bool {
+	first := r.ran()
+	switch {
+	case first == nil || r.class.Effect == Safe:
+		return true
+	case r.class.Effect == Unsafe || now >= first.sent+r.class.Window:
+		return false
+	case s == nil || r.class.Scope == ScopeAll:
+		return true
+	}
+	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
+}
+
+// mayGo is the gate: whether the rules let a request go to a server now.
+func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
+	switch {
+	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
+		return false // rule 1, and the limit on attempts
+	case s.State != Ready:
+		return false // rule 3: at once, long before the grace is over
+	case now < s.warmAt && now < s.coldAt:
+		return false // rule 4
+	case r.out > 0 || !r.mayRepeat(now, s):
+		return false // rule 2: one attempt at a time, and only where it may be repeated
+	}
+	return true
+}
+
+// send is the one place that sends.
+func (b *Balancer) send(now time.Duration, r *request, s *server) bool {
+	if !b.mayGo(now, r, s) {
+		return false
+	}
+	if now < s.warmAt {
+		s.coldAt = now + b.coldGap(now, s)
+	}
+	r.attempts = append(r.attempts, attempt{to: s, sent: now})
+	r.out++
+	s.out++
+	r.home.used++
+	if len(r.attempts) > 1 {
+		b.count.Retries++
+	}
+	b.host.Send(r.id, s.ID, r.useful-now)
+	return true
+}
+
+// coldGap spaces sends to a cold server so that all balancers together stay
+// well within its budget: each keeps an even part, whatever traffic it has.
+func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
+	// The quotas are close to what all servers can do; without them one answer's time is the guide.
+	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), 1/b.pace.Seconds())
+	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1) * b.warmth(now, s)
+	return time.Duration(float64(time.Second) / max(rate, 0.01))
+}
+
+// warmth is the share of its capacity that a server has at least.
+func (b *Balancer) warmth(now time.Duration, s *server) float64 {
+	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
+	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
+}
+
+// pick is smooth weighted round robin over the ready servers, first those of the own zone where crossing
+// has a price, and of these a drawn half where traffic is thin (connections cost). A server loses its
+// turn while it holds its portion of our attempts (an inner wall), while it is judged unwell, but for a
+// trial now and then, or if the request has been there already.
+func (b *Balancer) pick(now time.Duration, r *request) *server {
+	var best *server
+	total, lost := 0.0, math.Inf(-1)
+	for near := b.cfg.CrossZonePrice > 0; ; near = false {
+		for _, s := range b.servers {
+			switch {
+			case (near && (s.Zone != b.cfg.Zone || b.thin && s.spare)) || r.tried(s) || !b.mayGo(now, r, s):
+				continue
+			case b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
+				now-s.toldAt < time.Second && s.others+float64(s.out) >= 1+b.part(b.mean, s): // reported full
+				lost = max(lost, s.turn+s.Weight)
+				continue
+			}
+			w := s.Weight * b.warmth(now, s)
+			s.turn += w
+			total += w
+			if best == nil || s.turn > best.turn {
+				best = s
+			}
+		}
+		if best != nil || !near {
+			break
+		}
+	}
+	switch {
+	case best == nil:
+		return nil
+	case best.unwell:
+		b.count.Trials++
+		best.trialAt = now + b.backoff(best.strikes)
+	case best.turn >= lost:
+		b.count.Ordinary++
+	default:
+		b.count.Passed++
+	}
+	best.turn -= total
+	return best
+}
+
+// portion is how many of our attempts a server may hold: its part of all our slots, less the more
+// of the aim its answers take. It does not grow when others leave or fail: the last would be overrun.
+func (b *Balancer) portion(s *server) float64 {
+	return max(1, b.part(float64(b.slots), s)*min(1, crowdedAt*crowdedAt/max(s.used, 1e-4)))
+}
+
+// backoff is the pause after n failures, spread so that balancers do not act as one.
+func (b *Balancer) backoff(n int) time.Duration {
+	d := min(firstPause<<min(n, 16), lastPause)
+	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
+}
+
+// judge learns from the end of an attempt.
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
+	s, took := a.to, now-a.sent
+	if end == Served || end == TimedOut {
+		x := float64(took) / float64(r.class.Aim)
+		s.used += (x*x - s.used) / 8
+	}
+	switch end {
+	case Served:
+		r.class.pace += (took - r.class.pace) / 16
+		b.pace += (took - b.pace) / 32
+		b.answered(now, s)
+	case TimedOut:
+		if s.heard <= a.sent {
+			b.strike(now, s) // nothing at all came from it meanwhile
+		}
+	case Errored:
+		if s.strikes++; s.strikes > 1 { // guards against a server that fails all it gets; one may be chance
+			b.strike(now, s)
+		}
+	case TurnedAway, NoConnection, Broken:
+		b.strike(now, s)
+	}
+}
+
+// answered takes a good answer: whatever was held against a server is over.
+func (b *Balancer) answered(now time.Duration, s *server) {
+	s.heard, s.strikes = now, 0
+	if s.unwell {
+		s.unwell = false
+		b.weigh()
+	}
+}
+
+// strike takes evidence against a server: it loses its turn but for a trial after a pause.
+func (b *Balancer) strike(now time.Duration, s *server) {
+	s.trialAt = now + b.backoff(s.strikes)
+	s.strikes++
+	s.unwell = true
+	b.weigh()
+}
+
+// List takes news of the server list.
+func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
+	if kind == ListFailed {
+		b.askAt = now + b.backoff(b.askFails)
+		b.askFails++
+		return
+	}
+	if kind != ListCached && b.cfg.AskList {
+		b.askAt, b.askFails = 0, 0
+	}
+	if kind != ListDelta {
+		for _, s := range b.servers {
+			s.State = Gone // until the list names it
+		}
+	}
+	for _, e := range entries {
+		b.enter(now, e)
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Gone })
+	if b.mean == 0 {
+		b.deriveSlots() // no quotas: the first list is all there is to go by
+	}
+	b.weigh()
+	b.thin = b.cfg.MayProbe && b.quota/float64(b.cfg.Balancers*max(1, len(b.servers))) < thinRate
+	b.feed(now)
+}
+
+// enter takes over one line of the list.
+func (b *Balancer) enter(now time.Duration, e Server) {
+	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+		e.Weight = 1 // no weights, even turns
+	}
+	s := b.server(e.ID)
+	if s == nil {
+		s = &server{turn: b.rng.Float64() * e.Weight, spare: b.rng.IntN(2) == 0} // balancers must not begin in step
+		b.servers = append(b.servers, s)
+	}
+	fresh := e.Started > s.Started
+	s.Server = e
+	if fresh { // cold, and nothing known of it holds any more
+		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
+		s.unwell, s.strikes, s.heard = false, 0, now
+		// All balancers are told at once: their first sends together would push it over.
+		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+	}
+}
+
+// ask subscribes to the list. Without any word it asks again before its silence counts as being told.
+func (b *Balancer) ask(now time.Duration) {
+	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
+	b.host.WatchList()
+}
+
+// probe asks the next server for a load report, as often as requests pay for it.
+func (b *Balancer) probe() {
+	b.probes++
+	if n := len(b.servers); b.cfg.Reports && !b.thin && b.probes%probeEvery == 0 && n > 0 {
+		if s := b.servers[b.probes/probeEvery%n]; s.State == Ready {
+			b.host.Probe(s.ID)
+		}
+	}
+}
+
+// finish is the one place that answers: refused where that is true, failed where it is not.
+func (b *Balancer) finish(r *request) {
+	if r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
+		b.count.Refused++
+		pause := time.Duration((1 + b.rng.Float64()) * float64(b.pace)) // spread: not all at once
+		b.host.Refuse(r.id, min(b.cfg.MaxRetryAfter, pause))
+	} else {
+		b.count.Failed++
+		b.host.Fail(r.id)
+	}
+	b.settle(r)
+}
+
+// settle closes a request that has its answer: out of the queue, attempts called off.
+func (b *Balancer) settle(r *request) {
+	r.over = true
+	if r.shed || len(r.attempts)+len(r.knocked) > 0 { // what our own full walls refuse tells nothing
+		b.asked, b.cheap = b.asked+1, b.cheap+r.cheap
+		if !r.shed {
+			b.tried++
+		}
+	}
+	if r.knocking {
+		r.knocking = false
+		r.home.used--
+	}
+	if i := slices.Index(r.home.queue, r); i >= 0 {
+		r.home.queue = slices.Delete(r.home.queue, i, i+1)
+	}
+	for i := range r.attempts {
+		if r.attempts[i].state == inFlight && b.cfg.MayCancel {
+			b.host.Cancel(r.id, i)
+		}
+	}
+	if r.out == 0 {
+		delete(b.requests, r.id)
+	}
+}
