--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -13,8 +13,8 @@
 	"runtime/debug"
 	"time"
 
-	"starlingreach/internal/wire"
-	"starlingreach/policy"
+	"mothridge/internal/wire"
+	"mothridge/policy"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"starlingreach/internal/wire"
-	"starlingreach/policy"
+	"mothridge/internal/wire"
+	"mothridge/policy"
 )
 
 const settings = `balancers=2
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"starlingreach/policy"
+	"mothridge/policy"
 )
 
 // Settings are the start-up settings of an instance, by path.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"starlingreach/policy"
+	"mothridge/policy"
 )
 
 func unhex(t testing.TB, s string) []byte {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"starlingreach/policy"
+	"mothridge/policy"
 )
 
 // sidecar is the program that embeds the module: it carries out its decisions.
