Run the module as a sidecar on real sockets

Seen: there was no real program. cmd/mothridge and internal/sidecar take requests over net/http, carry attempts out over a small pool of connections, follow discovery's watch and hand every event to one goroutine that owns the Balancer. The settings' mapping moves to internal/settings, which the adapter shares; JSON is flattened to the paths of its lines. Checked: the configuration that a sidecar is given uses the wire's names and units (a dump of it from a first, failing start), so one mapping serves both.

--- /dev/null
+++ b/cmd/mothridge/main.go
@@ -0,0 +1,47 @@
+// Mothridge is the sidecar: it runs beside one application process and carries
+// its requests to the upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"mothridge/internal/sidecar"
+)
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "mothridge:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer done()
+	c, err := sidecar.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fit(c.Limits)
+	return sidecar.Run(stop, c)
+}
+
+// fit keeps the runtime within the platform's limits. The heap is small, so it
+// is collected rarely, but the memory limit is kept to with a quarter to spare.
+func fit(l sidecar.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(l.Cores)))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(l.MemoryMB << 20 / 4 * 3)
+		debug.SetGCPercent(400)
+	}
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"time"
 
+	"mothridge/internal/settings"
 	"mothridge/internal/wire"
 	"mothridge/policy"
 )
@@ -149,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := wire.ParseSettings(info)
+	s, err := settings.Parse(info)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", number, err)
 	}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,22 +1,44 @@
-package wire
+// Package settings reads the settings that an instance starts with, in the
+// simulator's form (path=value lines) and in a real sidecar's (JSON), and turns
+// them into the decision module's own.
+package settings
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
+	"time"
 
 	"mothridge/policy"
 )
 
+// Millis turns milliseconds on the wire into a duration. What no duration can
+// hold is cut to the ends, and a NaN is 0.
+func Millis(ms float64) time.Duration {
+	const most = 1 << 62
+	ns := math.Round(ms * 1e6)
+	switch {
+	case ns != ns:
+		return 0
+	case ns > most:
+		return most
+	case ns < -most:
+		return -most
+	}
+	return time.Duration(ns)
+}
+
 // Settings are the start-up settings of an instance, by path.
 type Settings struct {
 	values map[string]string
 	err    error // the first value that could not be read
 }
 
-// ParseSettings reads path=value lines. Unknown keys are kept and passed over.
-func ParseSettings(info []byte) (*Settings, error) {
+// Parse reads path=value lines. Unknown keys are kept and passed over.
+func Parse(info []byte) (*Settings, error) {
 	s := &Settings{values: make(map[string]string, 128)}
 	for n, line := range bytes.Split(info, []byte{'\n'}) {
 		if line = bytes.TrimSpace(line); len(line) == 0 {
@@ -31,6 +53,75 @@
 	return s, nil
 }
 
+// ParseJSON reads the same settings from a JSON object: the path of a value is
+// the keys that lead to it, a list of plain values is joined by commas, and a
+// list of objects gives its length under .count. Nulls are passed over.
+func ParseJSON(text []byte) (*Settings, error) {
+	var root map[string]any
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber() // a number stays as it was written
+	if err := d.Decode(&root); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{values: make(map[string]string, 128)}
+	for key, v := range root {
+		s.flatten(key, v)
+	}
+	return s, nil
+}
+
+func (s *Settings) flatten(path string, v any) {
+	switch v := v.(type) {
+	case nil:
+	case map[string]any:
+		for key, inner := range v {
+			s.flatten(path+"."+key, inner)
+		}
+	case []any:
+		objects := false
+		plain := make([]string, 0, len(v))
+		for i, inner := range v {
+			if _, ok := inner.(map[string]any); ok {
+				objects = true
+				s.flatten(path+"."+strconv.Itoa(i), inner)
+				continue
+			}
+			plain = append(plain, fmt.Sprint(inner))
+		}
+		if objects || len(v) == 0 {
+			s.values[path+".count"] = strconv.Itoa(len(v))
+		}
+		s.values[path] = strings.Join(plain, ",")
+	default:
+		s.values[path] = fmt.Sprint(v)
+	}
+}
+
+// Names lists the names of the objects in a list, in their order.
+func (s *Settings) Names(list string) []string {
+	names := make([]string, s.count(list+".count"))
+	for i := range names {
+		names[i] = s.text(fmt.Sprintf("%s.%d.name", list, i))
+	}
+	return names
+}
+
+// Words lists the plain values of a list.
+func (s *Settings) Words(list string) []string {
+	if s.text(list) == "" {
+		return nil
+	}
+	return strings.Split(s.text(list), ",")
+}
+
+// Duration reads a value in milliseconds; a missing one, and one that is not above 0, is absent.
+func (s *Settings) Duration(key string, absent time.Duration) time.Duration {
+	if d := Millis(s.number(key, 0)); d > 0 {
+		return d
+	}
+	return absent
+}
+
 func (s *Settings) text(key string) string { return s.values[key] }
 
 func (s *Settings) flag(key string) bool { return s.values[key] == "true" }
@@ -59,7 +150,7 @@
 
 // InFlightColumn tells where in a load report the number of requests held stands; -1 where absent.
 func (s *Settings) InFlightColumn() int {
-	for i, name := range strings.Split(s.text("telemetry.columns"), ",") {
+	for i, name := range s.Words("telemetry.columns") {
 		if name == "busy_reqs" {
 			return i
 		}
@@ -67,14 +158,6 @@
 	return -1
 }
 
-// Load takes the number of requests held out of that column; it is negative where absent.
-func (r Report) Load(column int) policy.Load {
-	if column < 0 || column >= r.N {
-		return policy.Load{InFlight: -1}
-	}
-	return policy.Load{InFlight: float64(r.Values[column])}
-}
-
 // Config turns the settings into the module's own.
 func (s *Settings) Config() (policy.Config, error) {
 	c := policy.Config{
--- /dev/null
+++ b/internal/sidecar/client.go
@@ -0,0 +1,294 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mothridge/policy"
+)
+
+const (
+	// answerMargin is kept to the moment a client gives up, which counts from
+	// when it sent the request and not from when this process came to read it.
+	answerMargin = 5 * time.Millisecond
+	maxTimeout   = time.Hour
+	maxName      = 256 // bytes of a Request-Id
+	readBodyIn   = 5 * time.Second
+	readHeaderIn = 10 * time.Second
+	idleClient   = 2 * time.Minute
+	maxHeader    = 16 << 10
+)
+
+// clients is the side towards the application.
+type clients struct {
+	loop     *loop
+	classes  map[string]int
+	tenants  map[string]int
+	draining func() bool
+}
+
+func newClients(c *Config, l *loop, draining func() bool) *clients {
+	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), draining: draining}
+	for i, name := range c.Classes {
+		s.classes[name] = i
+	}
+	for i, name := range c.Tenants {
+		s.tenants[name] = i
+	}
+	return s
+}
+
+func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	if hr.URL.Path == "/health/ready" && hr.Header.Get("Request-Id") == "" {
+		status := http.StatusOK
+		if !s.loop.ready.Load() || s.draining() {
+			status = http.StatusServiceUnavailable
+		}
+		w.WriteHeader(status)
+		return
+	}
+	r, status := s.read(w, hr)
+	if r == nil {
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	s.loop.events <- arrived{r}
+	var a answer
+	select {
+	case a = <-r.answer:
+	case <-hr.Context().Done():
+		s.loop.events <- left{r}
+		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
+	}
+	s.write(w, a)
+}
+
+// read takes a request in, or names the 4xx status that it gets.
+func (s *clients) read(w http.ResponseWriter, hr *http.Request) (*request, int) {
+	const bad = http.StatusBadRequest
+	arrival := time.Now()
+	h := hr.Header
+	name, ok1 := single(h, "Request-Id")
+	className, ok2 := single(h, "Request-Class")
+	timeoutText, ok3 := single(h, "Request-Timeout")
+	class, ok4 := s.classes[className]
+	if !ok1 || !ok2 || !ok3 || !ok4 || len(name) > maxName || strings.ContainsFunc(name, unprintable) {
+		return nil, bad
+	}
+	tenant := 0
+	if len(s.tenants) > 0 {
+		tenantName, ok := single(h, "Tenant")
+		if tenant, ok = s.tenants[tenantName]; !ok {
+			return nil, bad
+		}
+	}
+	timeout, ok := parseTimeout(timeoutText)
+	if !ok {
+		return nil, bad
+	}
+	// The method and the key follow from the class. A keyed request without its
+	// key could not be recognised as a repeat.
+	method := http.MethodPost
+	effect := s.loop.config.Policy.Classes[class].Effect
+	if effect == policy.Safe {
+		method = http.MethodGet
+	}
+	if hr.Method != method {
+		return nil, http.StatusMethodNotAllowed
+	}
+	if _, keyed := single(h, "Idempotency-Key"); keyed != (effect == policy.Keyed) {
+		return nil, bad
+	}
+	body, status := readRequestBody(w, hr)
+	if status != 0 {
+		return nil, status
+	}
+	if effect == policy.Safe && len(body) > 0 {
+		return nil, bad
+	}
+	hopByHop(h)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // none of our own either
+	}
+	return &request{
+		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1",
+		until:  arrival.Add(max(0, timeout-answerMargin)),
+		method: method, url: hr.URL, host: hr.Host, header: h, body: body,
+		answer: make(chan answer, 1),
+	}, 0
+}
+
+// single returns a header field that must be there exactly once.
+func single(h http.Header, key string) (string, bool) {
+	v := h[key]
+	if len(v) != 1 || v[0] == "" {
+		return "", false
+	}
+	return v[0], true
+}
+
+func unprintable(r rune) bool { return r <= ' ' || r > '~' }
+
+// parseTimeout reads seconds in plain decimals.
+func parseTimeout(s string) (time.Duration, bool) {
+	if strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(f > 0) || math.IsInf(f, 0) {
+		return 0, false
+	}
+	return time.Duration(min(f, maxTimeout.Seconds()) * float64(time.Second)), true
+}
+
+// readRequestBody reads a body of up to 64 KiB, or names the status to answer.
+// A client that stops in the middle of one does not hold its connection for ever.
+func readRequestBody(w http.ResponseWriter, hr *http.Request) ([]byte, int) {
+	if hr.ContentLength == 0 {
+		return nil, 0
+	}
+	if hr.ContentLength > maxBody {
+		w.Header().Set("Connection", "close") // the rest of it is not read
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Now().Add(readBodyIn))
+	limited := http.MaxBytesReader(w, hr.Body, maxBody)
+	var body []byte
+	var err error
+	if hr.ContentLength > 0 {
+		body = make([]byte, hr.ContentLength)
+		_, err = io.ReadFull(limited, body)
+	} else {
+		body, err = io.ReadAll(limited)
+	}
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest
+	}
+	rc.SetReadDeadline(time.Time{})
+	return body, 0
+}
+
+// hopByHop takes the fields out of a header that concern one connection only.
+func hopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Expect",
+	} {
+		delete(h, name)
+	}
+}
+
+func (s *clients) write(w http.ResponseWriter, a answer) {
+	h := w.Header()
+	if a.header != nil {
+		hopByHop(a.header)
+		delete(a.header, "Server-Load")
+		for name, v := range a.header {
+			h[name] = v
+		}
+		if _, ok := h["Content-Type"]; !ok {
+			h["Content-Type"] = nil // not guessed from the body
+		}
+	}
+	if a.pause > 0 {
+		h.Set("Retry-After", seconds(a.pause))
+	}
+	if s.draining() {
+		h.Set("Connection", "close")
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	w.Write(a.body)
+}
+
+// limitedListener bounds the open client connections. At the bound it closes
+// the one that has been idle longest, which a client can tell from a failure,
+// and where none is idle it leaves new ones waiting to be accepted.
+type limitedListener struct {
+	net.Listener
+	most int
+
+	mu    sync.Mutex
+	freed *sync.Cond
+	open  int
+	idle  []net.Conn // the longest idle first
+}
+
+func limitListener(l net.Listener, most int) *limitedListener {
+	ll := &limitedListener{Listener: l, most: most}
+	ll.freed = sync.NewCond(&ll.mu)
+	return ll
+}
+
+func (l *limitedListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	for l.open >= l.most {
+		if len(l.idle) > 0 {
+			c := l.idle[0]
+			l.idle = l.idle[1:]
+			c.Close()
+		}
+		l.freed.Wait()
+	}
+	l.open++
+	l.mu.Unlock()
+	c, err := l.Listener.Accept()
+	if err != nil {
+		l.release()
+	}
+	return c, err
+}
+
+func (l *limitedListener) release() {
+	l.mu.Lock()
+	l.open--
+	l.mu.Unlock()
+	l.freed.Signal()
+}
+
+// track follows the states of the server's connections.
+func (l *limitedListener) track(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	if i := slices.Index(l.idle, c); i >= 0 {
+		l.idle = slices.Delete(l.idle, i, i+1)
+	}
+	if state == http.StateIdle {
+		l.idle = append(l.idle, c)
+	}
+	l.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		l.freed.Signal() // there is one that may be closed now
+	case http.StateClosed, http.StateHijacked:
+		l.release()
+	}
+}
+
+// server makes the HTTP server of the client side.
+func (s *clients) server(l *limitedListener, log *http.Server) *http.Server {
+	log.Handler = s
+	log.ConnState = l.track
+	log.BaseContext = func(net.Listener) context.Context { return context.Background() }
+	log.ReadHeaderTimeout = readHeaderIn
+	log.IdleTimeout = idleClient
+	log.MaxHeaderBytes = maxHeader
+	return log
+}
--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,127 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"mothridge/internal/settings"
+	"mothridge/policy"
+)
+
+// Config is what one sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // the one address to listen on
+	Discovery string
+	Seed      uint64
+	Known     *listing // the list of upstreams as last held; nil where there is none
+	Limits    Limits
+
+	Policy      policy.Config
+	Classes     []string
+	Tenants     []string // empty: there is one, and requests need not name it
+	Zones       []string
+	LoadField   string        // a load report's name for the number of requests held
+	DialTimeout time.Duration // a connection not made by then never comes
+	ConnIdle    time.Duration // upstreams close a connection that was idle this long
+}
+
+// Limits are the platform's limits on this process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+const (
+	defaultSockets     = 1024
+	leastSockets       = 64 // below, neither side could hold a handful of connections
+	defaultDialTimeout = 250 * time.Millisecond
+	defaultConnIdle    = 15 * time.Second
+)
+
+// LoadConfig reads the configuration file that ROUTER_CONFIG names. ROUTER_NAME,
+// ROUTER_LISTEN and ROUTER_DISCOVERY go before what the file says of them.
+func LoadConfig(getenv func(string) string) (*Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("ROUTER_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	c, err := parseConfig(text)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*field = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, fmt.Errorf("%s address: %w", name, err)
+		}
+	}
+	return c, nil
+}
+
+func parseConfig(text []byte) (*Config, error) {
+	var f struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     *listing        `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	if f.Settings == nil {
+		return nil, fmt.Errorf("settings are missing")
+	}
+	s, err := settings.ParseJSON(f.Settings)
+	if err != nil {
+		return nil, err
+	}
+	p, err := s.Config()
+	if err != nil {
+		return nil, err
+	}
+	c := &Config{
+		Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Limits: f.Limits, Known: f.Known,
+		Policy:      p,
+		Classes:     s.Names("classes"),
+		Tenants:     s.Names("orgs"),
+		Zones:       s.Words("zones"),
+		DialTimeout: s.Duration("caps.dial_timeout_ms", defaultDialTimeout),
+		ConnIdle:    s.Duration("caps.conn_idle_ms", defaultConnIdle),
+	}
+	if columns, i := s.Words("telemetry.columns"), s.InFlightColumn(); i >= 0 {
+		c.LoadField = columns[i]
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %w", err)
+	}
+	if slices.Contains(c.Classes, "") || slices.Contains(c.Tenants, "") {
+		return nil, fmt.Errorf("settings: a class or tenant has no name")
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	if c.Limits.Sockets < leastSockets {
+		return nil, fmt.Errorf("limits: %d sockets, at least %d are needed", c.Limits.Sockets, leastSockets)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,200 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// listing is discovery's news of the upstreams: the whole list or what changed.
+type listing struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []entry `json:"hosts"`
+}
+
+// entry is one upstream. A field of the wrong kind makes this entry unusable and no other.
+type entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  *int    `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+}
+
+// UnmarshalJSON keeps a wrong entry from spoiling the list it stands in: it is
+// left without a name, and such entries are passed over.
+func (e *entry) UnmarshalJSON(text []byte) error {
+	type plain entry
+	var p plain
+	if err := json.Unmarshal(text, &p); err != nil {
+		*e = entry{}
+		return nil
+	}
+	*e = entry(p)
+	return nil
+}
+
+const (
+	listPath = "/registry/instances"
+	// silence ends a watch: an empty line comes every 2 s while nothing changes.
+	silence = 3 * time.Second
+	// What is out of reach is tried again soon, but not at once.
+	firstReopen = 100 * time.Millisecond
+	lastReopen  = time.Second
+	maxListing  = 16 << 20
+)
+
+// errGap says that a change was missed or could not be read: only the whole list helps.
+var errGap = errors.New("gap in the list")
+
+// discovery follows the list of upstreams.
+type discovery struct {
+	client  *http.Client
+	base    string
+	held    bool   // a list is held: changes may build on it
+	seq     uint64 // its version
+	deliver func(listing)
+}
+
+func newDiscovery(addr string, known *listing, deliver func(listing)) *discovery {
+	d := &discovery{
+		base:    "http://" + addr + listPath,
+		deliver: deliver,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
+			ResponseHeaderTimeout: silence,
+			MaxConnsPerHost:       socketsDiscovery,
+			DisableCompression:    true,
+		}},
+	}
+	if known != nil {
+		d.held, d.seq = true, known.Seq
+	}
+	return d
+}
+
+// follow watches the list until ctx ends and reopens the watch when it ends or falls silent.
+func (d *discovery) follow(ctx context.Context) {
+	pause, down := firstReopen, false
+	for ctx.Err() == nil {
+		heard, err := d.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if heard {
+			pause, down = firstReopen, false
+		}
+		if !down {
+			slog.Warn("discovery: watch ended", "err", err, "seq", d.seq)
+			down = true
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, lastReopen)
+	}
+}
+
+// watch opens one watch and passes on what it brings until it ends; heard tells
+// whether any line came. Where no list is held, it asks for the whole list first.
+func (d *discovery) watch(ctx context.Context) (heard bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
+	defer timer.Stop()
+	defer func() {
+		if err != nil && context.Cause(ctx) != nil {
+			err = context.Cause(ctx)
+		}
+	}()
+	if !d.held {
+		if err := d.fetch(ctx); err != nil {
+			return false, err
+		}
+		heard = true
+	}
+	body, err := d.open(ctx, d.base+"?watch=1&from="+strconv.FormatUint(d.seq, 10))
+	if err != nil {
+		return heard, err
+	}
+	defer body.Close()
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxListing)
+	for lines.Scan() {
+		timer.Reset(silence)
+		heard = true
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			if err := d.take(line); err != nil {
+				d.held = false
+				return heard, err
+			}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return heard, err
+	}
+	return heard, io.EOF
+}
+
+// fetch asks for the whole list.
+func (d *discovery) fetch(ctx context.Context) error {
+	body, err := d.open(ctx, d.base)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxListing))
+	if err != nil {
+		return err
+	}
+	return d.take(text)
+}
+
+func (d *discovery) open(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return resp.Body, nil
+}
+
+// take passes on one piece of news. Changes apply in order and only on top of
+// the list they follow; what was had already is passed over.
+func (d *discovery) take(text []byte) error {
+	var l listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		slog.Warn("discovery: unreadable line", "err", err)
+		return errGap
+	}
+	switch {
+	case l.Whole:
+	case !d.held || l.Seq < d.seq:
+		return errGap
+	case l.Seq == d.seq:
+		return nil
+	}
+	d.held, d.seq = true, l.Seq
+	d.deliver(l)
+	return nil
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,96 @@
+// Package sidecar runs the decision module on real sockets: it takes requests
+// from the application beside it, carries them to upstreams as the module
+// decides, and follows discovery. It decides nothing itself.
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	socketsSpare     = 32 // standard streams, the listener, the poller and what the runtime opens
+	socketsDiscovery = 2
+	sweepEvery       = time.Second
+	// lastConnections is how long new connections come after a planned restart
+	// was announced (0.4 s), and some time to take them out of the accept queue.
+	lastConnections = 600 * time.Millisecond
+	// lastAnswers is more than the longest that a request may take.
+	lastAnswers = 3 * time.Second
+)
+
+// Run serves until stop is done, then finishes what was taken.
+func Run(stop context.Context, c *Config) error {
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer ln.Close()
+	half := (c.Limits.Sockets - socketsSpare - socketsDiscovery) / 2
+	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, half), loadField: c.LoadField, statsPath: "/health/live"}
+	if c.Policy.Reports {
+		up.statsPath = "/stats"
+	}
+	l, err := newLoop(c, up)
+	if err != nil {
+		return err
+	}
+	run, end := context.WithCancel(context.Background())
+	defer end()
+	d := newDiscovery(c.Discovery, c.Known, func(news listing) { l.events <- listed{news} })
+	go d.follow(run)
+	go l.run(run)
+	go sweep(run, up.pool)
+
+	var draining atomic.Bool
+	limited := limitListener(ln, half)
+	server := newClients(c, l, draining.Load).server(limited, &http.Server{
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(limited) }()
+	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-stop.Done():
+	}
+	return shutDown(server, &draining)
+}
+
+// shutDown ends service for a planned restart. New connections go on coming for
+// a while, and closing the listener resets those that wait to be accepted: it
+// stays open until then, while every answer tells its client to close.
+func shutDown(server *http.Server, draining *atomic.Bool) error {
+	slog.Info("draining")
+	draining.Store(true)
+	server.SetKeepAlivesEnabled(false) // closes the idle ones: none may take a request after the listener has gone
+	time.Sleep(lastConnections)
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	slog.Info("ended")
+	return nil
+}
+
+// sweep closes idle upstream connections in time.
+func sweep(ctx context.Context, p *pool) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			p.sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,6 +9,9 @@
 	"io"
 	"math"
 	"time"
+
+	"mothridge/internal/settings"
+	"mothridge/policy"
 )
 
 // Event codes.
@@ -84,23 +87,7 @@
 	chunk = 1 << 20
 )
 
-// Millis turns milliseconds on the wire into a duration. What no duration can
-// hold is cut to the ends, and a NaN is 0.
-func Millis(ms float64) time.Duration {
-	const most = 1 << 62
-	ns := math.Round(ms * 1e6)
-	switch {
-	case ns != ns:
-		return 0
-	case ns > most:
-		return most
-	case ns < -most:
-		return -most
-	}
-	return time.Duration(ns)
-}
-
-// ToMillis is the inverse of Millis.
+// ToMillis is the inverse of settings.Millis.
 func ToMillis(d time.Duration) float64 { return float64(d) / 1e6 }
 
 // Batch is one frame of events.
@@ -136,7 +123,7 @@
 	if math.IsNaN(clock) || math.IsInf(clock, 0) {
 		return Batch{}, fmt.Errorf("batch %d: clock is not a number", b.Number)
 	}
-	b.Clock = Millis(clock)
+	b.Clock = settings.Millis(clock)
 	if size > maxFrame {
 		return Batch{}, fmt.Errorf("batch %d: %d bytes claimed, at most %d are taken", b.Number, size, maxFrame)
 	}
@@ -275,6 +262,14 @@
 	Values [4]float32
 }
 
+// Load takes the number of requests held out of that column; it is negative where absent.
+func (r Report) Load(column int) policy.Load {
+	if column < 0 || column >= r.N {
+		return policy.Load{InFlight: -1}
+	}
+	return policy.Load{InFlight: float64(r.Values[column])}
+}
+
 // Entry is one line of a server list.
 type Entry struct {
 	Upstream Upstream
@@ -305,7 +300,7 @@
 	for i := range entries {
 		e := Entry{Upstream: c.addr(), Area: c.u8(), Family: c.u8(), Cohort: c.u16(), Status: c.u8()}
 		e.Rating = float64(math.Float32frombits(c.u32()))
-		e.Boot = Millis(c.f64())
+		e.Boot = settings.Millis(c.f64())
 		entries[i] = e
 	}
 	return page, entries, c.done(r.Code)
@@ -344,7 +339,7 @@
 	c := cursor{b: r.Fields}
 	c.u32()
 	a := Ask{Job: c.u32(), Bits: c.u16(), Key: c.u64(), Tenant: c.u32()}
-	a.Left, a.Hint, a.Kind = Millis(c.f64()), Millis(c.f64()), c.u8()
+	a.Left, a.Hint, a.Kind = settings.Millis(c.f64()), settings.Millis(c.f64()), c.u8()
 	return a, c.done(r.Code)
 }
 
@@ -364,7 +359,7 @@
 	c := cursor{b: r.Fields}
 	c.u32()
 	f := Finished{Job: c.u32(), Hop: c.u8(), Upstream: c.addr(), Ending: c.u16()}
-	f.Took, f.Settled, f.Pressure = Millis(c.f64()), c.u8() != 0, c.report()
+	f.Took, f.Settled, f.Pressure = settings.Millis(c.f64()), c.u8() != 0, c.report()
 	return f, c.done(r.Code)
 }
 
