--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -357,7 +357,7 @@
 // Fail answers without a promise: never with 429 or 503, which are refusals.
 func (l *loop) Fail(id policy.RequestID) {
 	status := http.StatusBadGateway
-	if r := l.requests[id]; r != nil && r.timedOut {
+	if r := l.requests[id]; r != nil && (r.timedOut || r.out > 0) { // time ran out, whoever noticed first
 		status = http.StatusGatewayTimeout
 	}
 	l.finish(id, answer{status: status})
