Refuse targets and keys that cannot go on; do not wait for too large an answer

Seen (by reading the code against net/http, then by tests): an HTTP/1.0 request without a host went upstream with an empty one; one whose target is no path was refused with 503 after attempts that could not be written, each held against the upstream; two keys on an unsafe request were let through; an answer over 64 KiB held its attempt until the rest had come. Cause: client.go read() did not look at host and path and asked only for a single key; upstream.go closed the body, and net/http's Close reads on to the end. Checked: without the mends TestBadInput fails on the three cases and TestTooLargeAnswerIsNotWaitedFor hangs; with them both pass. Also: an attempt called off before its write is 'not sent' and no strike against the upstream; the counters are logged at the end as well. Conclusion: edge cases only, nothing on the ordinary path.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -81,6 +81,10 @@
 	className, ok2 := single(h, "Request-Class")
 	timeoutText, ok3 := single(h, "Request-Timeout")
 	class, ok4 := s.classes[className]
+	// HTTP/1.0 may come without a host, and a target may be no path: neither can go on unchanged.
+	if hr.Host == "" || !strings.HasPrefix(hr.URL.Path, "/") {
+		return nil, bad
+	}
 	if !ok1 || !ok2 || !ok3 || !ok4 || len(name) > maxName || strings.ContainsFunc(name, unprintable) {
 		return nil, bad
 	}
@@ -105,7 +109,7 @@
 	if hr.Method != method {
 		return nil, http.StatusMethodNotAllowed
 	}
-	if _, keyed := single(h, "Idempotency-Key"); keyed != (effect == policy.Keyed) {
+	if _, keyed := single(h, "Idempotency-Key"); keyed != (effect == policy.Keyed) || len(h["Idempotency-Key"]) > 1 {
 		return nil, bad
 	}
 	body, status := readRequestBody(w, hr)
--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -104,6 +104,7 @@
 		"no key":          {class: "keyed", header: http.Header{"Idempotency-Key": nil}},
 		"two keys":        {class: "keyed", header: http.Header{"Idempotency-Key": {"a", "b"}}},
 		"key on unsafe":   {class: "once", header: http.Header{"Idempotency-Key": {"a"}}},
+		"keys on unsafe":  {class: "once", header: http.Header{"Idempotency-Key": {"a", "b"}}},
 		"get for unsafe":  {class: "read", header: http.Header{"Request-Class": {"once"}}},
 		"get with a body": {class: "read", body: "x"},
 		"large body":      {class: "once", body: strings.Repeat("x", maxBody+1)},
@@ -116,6 +117,8 @@
 	}
 	for name, text := range map[string]string{
 		"no HTTP":            "hello\r\n\r\n",
+		"no host":            "GET /api HTTP/1.0\r\nRequest-Id: q\r\nRequest-Class: read\r\nTenant: acme\r\nRequest-Timeout: 1\r\n\r\n",
+		"no path":            "GET x:y HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\nRequest-Class: read\r\nTenant: acme\r\nRequest-Timeout: 1\r\n\r\n",
 		"bad length":         "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n",
 		"large chunked body": "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\nRequest-Class: once\r\nTenant: acme\r\nRequest-Timeout: 1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n",
 		"broken chunk":       "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: q\r\nRequest-Class: once\r\nTenant: acme\r\nRequest-Timeout: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -138,6 +138,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			slog.Info("counters", "counters", l.b.Counters())
 			return
 		case e := <-l.events:
 			l.now = l.clock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -46,13 +47,17 @@
 		return err
 	}
 	run, end := context.WithCancel(context.Background())
-	defer end()
+	var loops sync.WaitGroup
+	defer func() {
+		end()
+		loops.Wait()
+	}()
 	d := newDiscovery(c.Discovery, c.Known, func(news listing) { l.events <- listed{news} })
 	if c.Policy.AskList {
 		d.asks, d.failed = l.asks, func() { l.events <- listFailed{} }
 	}
 	go d.follow(run)
-	go l.run(run)
+	loops.Go(func() { l.run(run) })
 	go sweep(run, up.pool)
 
 	var draining atomic.Bool
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -55,15 +55,16 @@
 // long as the request's last byte has not been written, it never ran.
 func (u *upstreams) try(a *attempt) (policy.Ending, *answer) {
 	defer a.cancel()
+	var resp *http.Response
+	var body []byte
+	wrote := false
 	c, err := u.pool.get(a.ctx, a.addr)
-	if err != nil {
-		if errors.Is(a.ctx.Err(), context.Canceled) {
-			return policy.NotSent, nil
-		}
-		return policy.NoConnection, nil
+	if err == nil {
+		resp, body, wrote, err = u.exchange(a.ctx, c, a.req.outgoing(a.ctx))
 	}
-	resp, body, wrote, err := u.exchange(a.ctx, c, a.req.outgoing(a.ctx))
 	switch {
+	case err != nil && !wrote && errors.Is(a.ctx.Err(), context.Canceled):
+		return policy.NotSent, nil // no word against the upstream: nobody waited for it any more
 	case err != nil && !wrote:
 		return policy.NoConnection, nil
 	case err != nil && errors.Is(a.ctx.Err(), context.Canceled):
@@ -120,7 +121,8 @@
 			return nil, nil, true, fmt.Errorf("read answer: unexpected status %d", resp.StatusCode)
 		}
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read on in one that is too large. What
+	// is not read to its end ends with its connection.
 	if body, err = readBody(resp); err != nil {
 		return nil, nil, true, fmt.Errorf("read answer: %w", err)
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -86,6 +86,16 @@
 	await(t, "the connection's end", u.closed)
 }
 
+// An answer that is too large ends its attempt when that is seen, not when the rest has come.
+func TestTooLargeAnswerIsNotWaitedFor(t *testing.T) {
+	text := answer200(strings.Repeat("x", maxBody+2))
+	u := newUpstream(t, always(text[:len(text)-1])) // the last byte never comes
+	if got, _ := tryOnce(t.Context(), testPool(2), u.addr); got != policy.Broken {
+		t.Errorf("ending %v, want broken", got)
+	}
+	await(t, "the connection's end", u.closed)
+}
+
 func TestRefusedConnectionNeverRan(t *testing.T) {
 	ln := listenLoopback(t)
 	ln.Close()
