Do not take a request from a connection that was closed as idle

Seen (by reading net/http): its server calls a connection idle until a request's header has been read. limitedListener.Accept at its bound, and net/http's own SetKeepAlivesEnabled(false) at a planned restart, close idle connections; a request read in that moment went to the module while its client, by the protocol, sent it once more: an unsafe one could run twice. Checked: Context().Done() does not prevent it (the first attempt may be out before the close is noticed). Ruled out: net/http's idle time-out, which fires in the read itself. Mend: listener.go gives each connection a state; taking a request and closing as idle exclude each other, and a planned restart closes idle connections through it. The test fails without take(). Also: a Connection field that names Request-Id or Idempotency-Key makes the request a 400 (it would have gone on without its key); two cases in TestBadInput fail without the change.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -5,12 +5,9 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"mothridge/policy"
@@ -61,6 +58,9 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
+	if c, ok := hr.Context().Value(connKey{}).(*clientConn); !ok || !c.take() {
+		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
+	}
 	s.loop.events <- arrived{r}
 	var a answer
 	select {
@@ -77,6 +77,7 @@
 	const bad = http.StatusBadRequest
 	arrival := time.Now()
 	h := hr.Header
+	hopByHop(h) // first of all: a field that is needed below may not go on if it is named as a hop's own
 	name, ok1 := single(h, "Request-Id")
 	className, ok2 := single(h, "Request-Class")
 	timeoutText, ok3 := single(h, "Request-Timeout")
@@ -119,7 +120,6 @@
 	if effect == policy.Safe && len(body) > 0 {
 		return nil, bad
 	}
-	hopByHop(h)
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""} // none of our own either
 	}
@@ -225,80 +225,21 @@
 	if a.pause > 0 {
 		h.Set("Retry-After", seconds(a.pause))
 	}
+	if s.draining() {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
 	w.Write(a.body)
 }
 
-// limitedListener bounds the open client connections. At the bound it closes
-// the one that has been idle longest, which a client can tell from a failure,
-// and where none is idle it leaves new ones waiting to be accepted.
-type limitedListener struct {
-	net.Listener
-	most int
-
-	mu    sync.Mutex
-	freed *sync.Cond
-	open  int
-	idle  []net.Conn // the longest idle first
-}
-
-func limitListener(l net.Listener, most int) *limitedListener {
-	ll := &limitedListener{Listener: l, most: most}
-	ll.freed = sync.NewCond(&ll.mu)
-	return ll
-}
-
-func (l *limitedListener) Accept() (net.Conn, error) {
-	l.mu.Lock()
-	for l.open >= l.most {
-		if len(l.idle) > 0 {
-			c := l.idle[0]
-			l.idle = l.idle[1:]
-			c.Close()
-		}
-		l.freed.Wait()
-	}
-	l.open++
-	l.mu.Unlock()
-	c, err := l.Listener.Accept()
-	if err != nil {
-		l.release()
-	}
-	return c, err
-}
-
-func (l *limitedListener) release() {
-	l.mu.Lock()
-	l.open--
-	l.mu.Unlock()
-	l.freed.Signal()
-}
-
-// track follows the states of the server's connections.
-func (l *limitedListener) track(c net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	if i := slices.Index(l.idle, c); i >= 0 {
-		l.idle = slices.Delete(l.idle, i, i+1)
-	}
-	if state == http.StateIdle {
-		l.idle = append(l.idle, c)
-	}
-	l.mu.Unlock()
-	switch state {
-	case http.StateIdle:
-		l.freed.Signal() // there is one that may be closed now
-	case http.StateClosed, http.StateHijacked:
-		l.release()
-	}
-}
-
 // server makes the HTTP server of the client side. It has no ReadTimeout: that
 // would also end the watch for clients that leave, as if they had left.
 func (s *clients) server(l *limitedListener) *http.Server {
 	return &http.Server{
 		Handler:           s,
 		ConnState:         l.track,
+		ConnContext:       withConn,
 		ReadHeaderTimeout: readHeaderIn,
 		IdleTimeout:       idleClient,
 		MaxHeaderBytes:    maxHeader,
--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -87,6 +87,8 @@
 		"no id":           {class: "once", header: http.Header{"Request-Id": nil}},
 		"two ids":         {class: "once", header: http.Header{"Request-Id": {"a", "b"}}},
 		"empty id":        {class: "once", header: http.Header{"Request-Id": {""}}},
+		"id for one hop":  {class: "once", header: http.Header{"Connection": {"Request-Id"}}},
+		"key for one hop": {class: "keyed", header: http.Header{"Connection": {"idempotency-key"}}},
 		"long id":         {class: "once", id: strings.Repeat("x", maxName+1)},
 		"id with a space": {class: "once", id: "a b"},
 		"no class":        {class: "once", header: http.Header{"Request-Class": nil}},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -60,9 +59,8 @@
 	loops.Go(func() { l.run(run) })
 	go sweep(run, up.pool)
 
-	var draining atomic.Bool
 	limited := limitListener(ln, half)
-	server := newClients(c, l, draining.Load).server(limited)
+	server := newClients(c, l, limited.isDraining).server(limited)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
@@ -71,16 +69,15 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-stop.Done():
 	}
-	return shutDown(server, &draining)
+	return shutDown(server, limited)
 }
 
 // shutDown ends service for a planned restart. New connections go on coming for
 // a while, and closing the listener resets those that wait to be accepted: it
 // stays open until then, while every answer tells its client to close.
-func shutDown(server *http.Server, draining *atomic.Bool) error {
+func shutDown(server *http.Server, l *limitedListener) error {
 	slog.Info("draining")
-	draining.Store(true)
-	server.SetKeepAlivesEnabled(false) // closes the idle ones: none may take a request after the listener has gone
+	l.drain() // none that is idle may get a request after the listener has gone
 	time.Sleep(lastConnections)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -70,6 +71,34 @@
 	}
 }
 
+// net/http counts a connection as idle until it has read a request's header. A
+// connection closed as idle in that moment must not have its request taken: the
+// client sends it once more.
+func TestRequestOnAConnectionClosedAsIdleIsLeftAlone(t *testing.T) {
+	u := newUpstream(t, always(answer200("ok")))
+	l := newTestLoop(t, hostText("s-1", u.addr, "up", 0))
+	go l.run(t.Context())
+	s := newClients(l.config, l, func() bool { return false })
+	serve := func(c *clientConn) (aborted bool) {
+		defer func() { aborted = recover() == http.ErrAbortHandler }()
+		req := call{class: "once"}.request(t, "127.0.0.1:1")
+		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
+		return false
+	}
+	closed, open := &clientConn{TCPConn: &net.TCPConn{}}, &clientConn{TCPConn: &net.TCPConn{}}
+	closed.closeIdle()
+	if !serve(closed) || len(u.requests) > 0 {
+		t.Error("a request of a connection that was closed as idle was taken")
+	}
+	if serve(open) || len(u.requests) != 1 {
+		t.Error("a request of an open connection was not taken")
+	}
+	open.closeIdle()
+	if open.state.Load() != connBusy {
+		t.Error("a connection was closed under a request that had been taken")
+	}
+}
+
 // Nothing is sent again behind the module's back, not even a request that may be
 // repeated, when a kept connection breaks under it.
 func TestNoHiddenAttempts(t *testing.T) {
