Do not keep a request whose answer came after its client had left

Seen (by reading loop.end): a served outcome for a request that was over took the branch of finish, which does nothing then, and the request with its body stayed in the table for ever. Checked: TestLateAnswerLeavesNothingBehind shows one request held without the change and none with it. Ruled out: the module's own table (it deletes on the outcome).

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -234,7 +234,9 @@
 	r.timedOut = e.ending == policy.TimedOut
 	if e.ending == policy.Served {
 		l.finish(r.id, *e.answer)
-	} else if r.over && r.out == 0 {
+	}
+	// Whatever the ending: an answer too late for its client would stay here for ever.
+	if r.over && r.out == 0 {
 		delete(l.requests, r.id)
 	}
 	l.b.Outcome(l.now, policy.Outcome{ID: r.id, Attempt: a.number, Ending: e.ending, Settled: r.over})
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -192,6 +192,26 @@
 	}
 }
 
+// An answer that comes when its client has left finds nobody, but must not
+// leave the request behind.
+func TestLateAnswerLeavesNothingBehind(t *testing.T) {
+	u := newUpstream(t, always(""))
+	l := newTestLoop(t, hostText("s-1", u.addr, "up", 0))
+	r := call{class: "once"}.request(t, u.addr)
+	held := &request{
+		name: "x", class: 2, until: time.Now().Add(patience), method: r.Method, url: r.URL, host: r.Host, header: r.Header,
+		answer: make(chan answer, 1),
+	}
+	l.now = l.clock()
+	l.handle(arrived{held})
+	await(t, "the attempt", u.requests)
+	l.handle(left{held})
+	l.handle(ended{held.attempts[0], policy.Served, &answer{status: http.StatusOK}})
+	if len(l.requests) > 0 || len(held.answer) > 0 {
+		t.Errorf("%d requests are still held, %d answers given", len(l.requests), len(held.answer))
+	}
+}
+
 // At the deadline the module may give up before the attempt's own time-out
 // comes in: the client is told of a time-out either way.
 func TestTimeOutIsToldWhoeverNoticesFirst(t *testing.T) {
