Read what is left of a rejected body, so that the 4xx arrives

Mend: client.go reject() reads the rest first, 1 MiB and 5 s at most. Conclusion: a client learns why it was rejected.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"errors"
 	"io"
 	"log/slog"
 	"math"
@@ -23,6 +22,7 @@
 	readHeaderIn = 10 * time.Second
 	idleClient   = 2 * time.Minute
 	maxHeader    = 16 << 10
+	maxDiscard   = 1 << 20 // of a body that is not taken
 )
 
 // clients is the side towards the application.
@@ -55,7 +55,7 @@
 	}
 	r, status := s.read(w, hr)
 	if r == nil {
-		http.Error(w, http.StatusText(status), status)
+		reject(w, hr, status)
 		return
 	}
 	if c, ok := hr.Context().Value(connKey{}).(*clientConn); !ok || !c.take() {
@@ -72,6 +72,15 @@
 	s.write(w, a)
 }
 
+// reject answers a request that is not taken. A connection that is closed with
+// bytes unread is reset, and the client may lose the answer; what has not been
+// read of the body is read first, as long as it is not far too large.
+func reject(w http.ResponseWriter, hr *http.Request, status int) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyIn))
+	io.CopyN(io.Discard, hr.Body, maxDiscard)
+	http.Error(w, http.StatusText(status), status)
+}
+
 // read takes a request in, or names the 4xx status that it gets.
 func (s *clients) read(w http.ResponseWriter, hr *http.Request) (*request, int) {
 	const bad = http.StatusBadRequest
@@ -169,28 +178,22 @@
 	if hr.ContentLength == 0 {
 		return nil, 0
 	}
-	if hr.ContentLength > maxBody {
-		// The connection must not be closed here: that resets it, and the client
-		// loses the answer. net/http reads a moderate rest and closes on a large one.
-		return nil, http.StatusRequestEntityTooLarge
-	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(readBodyIn))
-	limited := http.MaxBytesReader(w, hr.Body, maxBody)
 	var body []byte
 	var err error
-	if hr.ContentLength > 0 {
-		body = make([]byte, hr.ContentLength)
-		_, err = io.ReadFull(limited, body)
-	} else {
-		body, err = io.ReadAll(limited)
-	}
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge
+	if n := hr.ContentLength; n >= 0 && n <= maxBody {
+		body = make([]byte, n)
+		_, err = io.ReadFull(hr.Body, body)
+	} else if n < 0 {
+		body, err = io.ReadAll(io.LimitReader(hr.Body, maxBody+1))
 	}
 	if err != nil {
 		return nil, http.StatusBadRequest
 	}
+	if hr.ContentLength > maxBody || len(body) > maxBody {
+		return nil, http.StatusRequestEntityTooLarge
+	}
 	rc.SetReadDeadline(time.Time{})
 	return body, 0
 }
--- a/internal/sidecar/client_test.go
+++ b/internal/sidecar/client_test.go
@@ -109,6 +109,7 @@
 		"keys on unsafe":  {class: "once", header: http.Header{"Idempotency-Key": {"a", "b"}}},
 		"get for unsafe":  {class: "read", header: http.Header{"Request-Class": {"once"}}},
 		"get with a body": {class: "read", body: "x"},
+		"body unread":     {class: "once", body: strings.Repeat("x", maxBody), header: http.Header{"Request-Class": nil}},
 		"large body":      {class: "once", body: strings.Repeat("x", maxBody+1)},
 	}
 	for name, c := range bad {
