Read the configuration again on SIGHUP; reject what hides requests; let silent clients go first

A silent connection was in no list of listener.go until its first request, so that at the bound Accept waited for net/http's 10 s.

Checked and ruled out: the crash was no panic (exit status 129 = SIGHUP); a request with both fields cannot be told from a chunked one behind net/http, so all Transfer-Encoding is rejected (411), as is HTTP/1.0, where it is dropped in silence.

--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -26,12 +26,15 @@
 func run() error {
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer done()
+	// Unhandled, the signal that says 'read your configuration again' would end the program.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	c, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
 	fit(c.Limits)
-	return sidecar.Run(stop, c)
+	return sidecar.Run(stop, reload, c)
 }
 
 // fit keeps the runtime within the platform's limits. The heap is small, so it
--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -18,11 +18,13 @@
 	answerMargin = 5 * time.Millisecond
 	maxTimeout   = time.Hour
 	maxName      = 256 // bytes of a Request-Id
-	readBodyIn   = 5 * time.Second
-	readHeaderIn = 10 * time.Second
-	idleClient   = 2 * time.Minute
 	maxHeader    = 16 << 10
-	maxDiscard   = 1 << 20 // of a body that is not taken
+
+	// Connections are few, and a client is owed a word within 3 s of connecting.
+	readHeaderIn = 2 * time.Second
+	requestIn    = 2500 * time.Millisecond // header and body
+	idleClient   = 3 * time.Second         // between requests
+	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
 
 // clients is the side towards the application.
@@ -45,6 +47,10 @@
 }
 
 func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	if status := framing(hr); status != 0 {
+		reject(w, status)
+		return
+	}
 	if hr.URL.Path == "/health/ready" {
 		status := http.StatusOK
 		if !s.loop.ready.Load() || s.draining() {
@@ -53,12 +59,14 @@
 		w.WriteHeader(status)
 		return
 	}
-	r, status := s.read(w, hr)
+	c := hr.Context().Value(connKey{}).(*clientConn)
+	c.requests++
+	r, status := s.read(w, hr, c)
 	if r == nil {
-		reject(w, hr, status)
+		reject(w, status)
 		return
 	}
-	if c, ok := hr.Context().Value(connKey{}).(*clientConn); !ok || !c.take() {
+	if !c.take() {
 		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
 	}
 	s.loop.events <- arrived{r}
@@ -72,17 +80,35 @@
 	s.write(w, a)
 }
 
-// reject answers a request that is not taken. A connection that is closed with
-// bytes unread is reset, and the client may lose the answer; what has not been
-// read of the body is read first, as long as it is not far too large.
-func reject(w http.ResponseWriter, hr *http.Request, status int) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyIn))
-	io.CopyN(io.Discard, hr.Body, maxDiscard)
+// reject answers a request that is not taken and ends its connection: what else
+// waits there may be its body. That is not read before the answer, as it may be
+// of any size or never come; a connection that is closed with bytes unread is
+// reset, and the client may lose the answer, so a short rest is read after it.
+func reject(w http.ResponseWriter, status int) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerIn))
+	w.Header().Set("Connection", "close")
 	http.Error(w, http.StatusText(status), status)
 }
 
-// read takes a request in, or names the 4xx status that it gets.
-func (s *clients) read(w http.ResponseWriter, hr *http.Request) (*request, int) {
+// framing names the status for a request whose length is not certain, or 0.
+// net/http drops the Content-Length beside a Transfer-Encoding: two readers of
+// such a request may see it end in two places, and what stands between them in
+// one's body is the other's next request. None of it may go on.
+func framing(hr *http.Request) int {
+	switch {
+	case !hr.ProtoAtLeast(1, 1): // there net/http drops a Transfer-Encoding in silence
+		return http.StatusHTTPVersionNotSupported
+	case len(hr.TransferEncoding) > 0:
+		return http.StatusLengthRequired
+	case hr.ContentLength > maxBody:
+		return http.StatusRequestEntityTooLarge
+	}
+	return 0
+}
+
+// read takes a request in, or names the status that it is rejected with. It
+// reads no body before all else is known to be right.
+func (s *clients) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*request, int) {
 	const bad = http.StatusBadRequest
 	arrival := time.Now()
 	h := hr.Header
@@ -91,7 +117,7 @@
 	className, ok2 := single(h, "Request-Class")
 	timeoutText, ok3 := single(h, "Request-Timeout")
 	class, ok4 := s.classes[className]
-	// HTTP/1.0 may come without a host, and a target may be no path: neither can go on unchanged.
+	// A target may be no path, and so cannot go on unchanged.
 	if hr.Host == "" || !strings.HasPrefix(hr.URL.Path, "/") {
 		return nil, bad
 	}
@@ -122,11 +148,14 @@
 	if _, keyed := single(h, "Idempotency-Key"); keyed != (effect == policy.Keyed) || len(h["Idempotency-Key"]) > 1 {
 		return nil, bad
 	}
-	body, status := readRequestBody(w, hr)
-	if status != 0 {
-		return nil, status
+	if effect == policy.Safe && hr.ContentLength > 0 {
+		return nil, bad
+	}
+	if s.loop.names.has(name) {
+		return nil, http.StatusConflict
 	}
-	if effect == policy.Safe && len(body) > 0 {
+	body, err := readRequestBody(w, hr, c.bodyBy(arrival))
+	if err != nil {
 		return nil, bad
 	}
 	if _, ok := h["User-Agent"]; !ok {
@@ -172,30 +201,19 @@
 	return time.Duration(min(us, float64(maxTimeout.Microseconds())) * float64(time.Microsecond))
 }
 
-// readRequestBody reads a body of up to 64 KiB, or names the status to answer.
-// A client that stops in the middle of one does not hold its connection for ever.
-func readRequestBody(w http.ResponseWriter, hr *http.Request) ([]byte, int) {
+// readRequestBody reads a body of a known length.
+func readRequestBody(w http.ResponseWriter, hr *http.Request, by time.Time) ([]byte, error) {
 	if hr.ContentLength == 0 {
-		return nil, 0
+		return nil, nil
 	}
 	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(time.Now().Add(readBodyIn))
-	var body []byte
-	var err error
-	if n := hr.ContentLength; n >= 0 && n <= maxBody {
-		body = make([]byte, n)
-		_, err = io.ReadFull(hr.Body, body)
-	} else if n < 0 {
-		body, err = io.ReadAll(io.LimitReader(hr.Body, maxBody+1))
-	}
-	if err != nil {
-		return nil, http.StatusBadRequest
-	}
-	if hr.ContentLength > maxBody || len(body) > maxBody {
-		return nil, http.StatusRequestEntityTooLarge
+	rc.SetReadDeadline(by)
+	body := make([]byte, hr.ContentLength)
+	if _, err := io.ReadFull(hr.Body, body); err != nil {
+		return nil, err
 	}
 	rc.SetReadDeadline(time.Time{})
-	return body, 0
+	return body, nil
 }
 
 // hopByHop takes the fields out of a header that concern one connection only.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -67,14 +67,17 @@
 	seq     uint64 // its version
 	deliver func(listing)
 
+	moves chan string // the address to go on with; holds the latest alone
+
 	asks   <-chan struct{} // the module's calls, where it has to ask for the list; else nil
 	failed func()          // tells it that its call failed or the watch has ended
 }
 
 func newDiscovery(addr string, known *listing, deliver func(listing)) *discovery {
 	d := &discovery{
-		base:    "http://" + addr + listPath,
+		base:    listURL(addr),
 		deliver: deliver,
+		moves:   make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
 			ResponseHeaderTimeout: silence,
@@ -88,22 +91,52 @@
 	return d
 }
 
+func listURL(addr string) string { return "http://" + addr + listPath }
+
+// errMoved ends a watch at an address that is not discovery's any more.
+var errMoved = errors.New("discovery has moved")
+
+// move makes follow go on at another address, at once. It must not be called concurrently.
+func (d *discovery) move(addr string) {
+	select {
+	case <-d.moves: // not taken yet, and out of date
+	default:
+	}
+	d.moves <- addr
+}
+
+// moved turns to another address. Its versions may have nothing to do with those
+// that were counted so far: only its whole list is to be built on.
+func (d *discovery) moved(addr string) {
+	slog.Info("discovery: moved", "to", addr)
+	d.client.CloseIdleConnections()
+	d.base, d.held = listURL(addr), false
+}
+
 // follow watches the list until ctx ends. When a watch ends or falls silent it
 // opens the next one soon, or when the module asks, where asking is the module's.
+// The list that was held stays in force until there is another.
 func (d *discovery) follow(ctx context.Context) {
-	pause, down := firstReopen, false
+	pause, down, atOnce := firstReopen, false, false
 	for ctx.Err() == nil {
-		if d.asks != nil {
+		if d.asks != nil && !atOnce {
 			select {
 			case <-d.asks:
+			case addr := <-d.moves:
+				d.moved(addr)
 			case <-ctx.Done():
 				return
 			}
 		}
-		heard, err := d.watch(ctx)
+		heard, next, err := d.watchHere(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if atOnce = next != ""; atOnce {
+			d.moved(next)
+			pause, down = firstReopen, false
+			continue
+		}
 		if heard {
 			pause, down = firstReopen, false
 		}
@@ -121,12 +154,35 @@
 		}
 		select {
 		case <-time.After(pause):
+			pause = min(2*pause, lastReopen)
+		case addr := <-d.moves:
+			d.moved(addr)
+			pause, down = firstReopen, false
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, lastReopen)
 	}
 }
 
+// watchHere watches until the watch ends or discovery moves to the address next.
+// When it returns, nothing more comes from the old address.
+func (d *discovery) watchHere(ctx context.Context) (heard bool, next string, err error) {
+	ctx, leave := context.WithCancelCause(ctx)
+	defer leave(nil)
+	over, turned := make(chan struct{}), make(chan string, 1)
+	go func() {
+		defer close(turned)
+		select {
+		case addr := <-d.moves:
+			leave(errMoved)
+			turned <- addr
+		case <-over:
+		}
+	}()
+	heard, err = d.watch(ctx)
+	close(over)
+	return heard, <-turned, err
+}
+
 // watch opens one watch and passes on what it brings until it ends; heard tells
 // whether any line came. Where no list is held, it asks for the whole list first.
 func (d *discovery) watch(ctx context.Context) (heard bool, err error) {
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -79,6 +79,58 @@
 	await(t, "the end of the silent one", w.ended)
 }
 
+// A new address counts at once, its whole list first: its versions may have
+// nothing to do with the old one's, whose news must not come after it.
+func TestMovedDiscovery(t *testing.T) {
+	for name, held := range map[string]*listing{"watching": {Seq: 41, Whole: true}, "waiting for a list": nil} {
+		t.Run(name, func(t *testing.T) {
+			old, fresh := newRegistry(t), newRegistry(t)
+			news := make(chan listing, 10)
+			d := newDiscovery(old.addr, held, func(l listing) { news <- l })
+			go d.follow(t.Context())
+			if held == nil {
+				await(t, "the call to the old one", old.asked)
+			} else {
+				w := await(t, "the old watch", old.watches)
+				defer await(t, "the old watch's end", w.ended)
+			}
+			d.move("127.0.0.1:1") // and at once on: the last one counts
+			d.move(fresh.addr)
+			await(t, "the call for the new list", fresh.asked)
+			fresh.whole <- listText(7, true, hostText("s-1", "127.0.0.1:7", "up", 0))
+			if l := await(t, "the list", news); l.Seq != 7 || !l.Whole || len(l.Hosts) != 1 {
+				t.Errorf("delivered %+v", l)
+			}
+			if w := await(t, "the new watch", fresh.watches); w.from != "7" {
+				t.Errorf("the new watch is from %s, want 7", w.from)
+			}
+			if len(news) > 0 {
+				t.Errorf("more came: %+v", <-news)
+			}
+		})
+	}
+}
+
+// Where the module asks for the list, a move needs no asking, and what goes
+// wrong at the new address is told as ever.
+func TestMovedDiscoveryThatIsAsked(t *testing.T) {
+	old, fresh := newRegistry(t), newRegistry(t)
+	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan listing, 10)
+	d := newDiscovery(old.addr, &listing{Seq: 3, Whole: true}, func(l listing) { news <- l })
+	d.asks, d.failed = asks, func() { failed <- struct{}{} }
+	go d.follow(t.Context())
+	asks <- struct{}{}
+	await(t, "the old watch", old.watches)
+	d.move(fresh.addr)
+	await(t, "the call for the new list", fresh.asked)
+	fresh.whole <- listText(1, true)
+	if l := await(t, "the list", news); l.Seq != 1 || !l.Whole {
+		t.Errorf("delivered %+v", l)
+	}
+	close(await(t, "the new watch", fresh.watches).lines)
+	await(t, "word of its end", failed)
+}
+
 // Where the list is asked for, the module asks, and hears of success and failure.
 func TestAskedListIsTheModulesToAsk(t *testing.T) {
 	g := newRegistry(t)
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // clientConn is a client's connection. Closing it between requests and taking a
@@ -17,7 +18,10 @@
 // unsafe request could run twice.
 type clientConn struct {
 	*net.TCPConn
-	state atomic.Int32
+	accepted time.Time
+	heard    atomic.Bool // something was read from it
+	state    atomic.Int32
+	requests int // whose headers were read; net/http serves one at a time
 }
 
 const (
@@ -26,6 +30,25 @@
 	connClosed
 )
 
+// Read notes that the client has said something.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.heard.Store(true)
+	}
+	return n, err
+}
+
+// bodyBy is until when the body must have come of the request whose header was
+// just read. The first one's budget counts from connecting: a client that stops
+// in the middle of a request does not hold its connection for longer.
+func (c *clientConn) bodyBy(now time.Time) time.Time {
+	if c.requests == 1 {
+		return c.accepted.Add(requestIn)
+	}
+	return now.Add(requestIn)
+}
+
 // take is called before a request of the connection is acted on; if it returns
 // false the request must be left alone.
 func (c *clientConn) take() bool { return c.state.CompareAndSwap(connIdle, connBusy) }
@@ -36,6 +59,11 @@
 	}
 }
 
+// silent says whether the client has sent nothing so far, though it had the time to.
+func (c *clientConn) silent(now time.Time) bool {
+	return now.Sub(c.accepted) >= speakIn && !c.heard.Load() && quiet(c.TCPConn)
+}
+
 type connKey struct{}
 
 // withConn lets a handler find the connection of its request.
@@ -44,8 +72,10 @@
 }
 
 // limitedListener bounds the open client connections. At the bound it closes
-// the one that has been idle longest, which a client can tell from a failure,
-// and where none is idle it leaves new ones waiting to be accepted.
+// the oldest of those that never said a thing, or else the one that has been
+// idle longest, which a client can tell from a failure; where there is neither
+// it leaves new ones waiting to be accepted. Hundreds that connect and say
+// nothing must not take the places of clients that ask.
 type limitedListener struct {
 	net.Listener
 	most int
@@ -53,10 +83,15 @@
 	mu       sync.Mutex
 	freed    *sync.Cond
 	open     int
-	idle     []*clientConn // the longest idle first
+	fresh    []*clientConn // no request of theirs was read, in order of arrival
+	idle     []*clientConn // between requests, the longest idle first
 	draining bool
 }
 
+// speakIn is how long after it was accepted a connection is not held to be
+// silent: its first bytes may be on their way.
+const speakIn = 50 * time.Millisecond
+
 func limitListener(l net.Listener, most int) *limitedListener {
 	ll := &limitedListener{Listener: l, most: most}
 	ll.freed = sync.NewCond(&ll.mu)
@@ -64,17 +99,7 @@
 }
 
 func (l *limitedListener) Accept() (net.Conn, error) {
-	l.mu.Lock()
-	for l.open >= l.most {
-		if len(l.idle) > 0 {
-			c := l.idle[0]
-			l.idle = l.idle[1:]
-			c.closeIdle()
-		}
-		l.freed.Wait()
-	}
-	l.open++
-	l.mu.Unlock()
+	l.acquire()
 	c, err := l.Listener.Accept()
 	if err != nil {
 		l.release()
@@ -86,7 +111,43 @@
 		l.release()
 		return nil, fmt.Errorf("a connection of kind %T, TCP is needed", c)
 	}
-	return &clientConn{TCPConn: tcp}, nil
+	return &clientConn{TCPConn: tcp, accepted: time.Now()}, nil
+}
+
+// acquire waits until one more connection may be open.
+func (l *limitedListener) acquire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.open >= l.most {
+		c, soon := l.victim(time.Now())
+		if c != nil {
+			c.closeIdle()
+		} else if soon {
+			again := time.AfterFunc(speakIn, l.freed.Signal)
+			defer again.Stop()
+		}
+		l.freed.Wait()
+	}
+	l.open++
+}
+
+// victim takes out the connection to give up for a new one. Where there is none,
+// soon tells that one may turn out to be silent in a moment: until then those
+// whose clients asked lately are left alone.
+func (l *limitedListener) victim(now time.Time) (c *clientConn, soon bool) {
+	for i, c := range l.fresh {
+		if c.silent(now) {
+			l.fresh = slices.Delete(l.fresh, i, i+1)
+			return c, false
+		}
+		soon = soon || !c.heard.Load()
+	}
+	if len(l.idle) == 0 || soon {
+		return nil, soon
+	}
+	c = l.idle[0]
+	l.idle = slices.Delete(l.idle, 0, 1)
+	return c, false
 }
 
 func (l *limitedListener) release() {
@@ -117,10 +178,15 @@
 func (l *limitedListener) track(nc net.Conn, state http.ConnState) {
 	c := nc.(*clientConn)
 	l.mu.Lock()
-	if i := slices.Index(l.idle, c); i >= 0 {
-		l.idle = slices.Delete(l.idle, i, i+1)
+	for _, list := range []*[]*clientConn{&l.fresh, &l.idle} {
+		if i := slices.Index(*list, c); i >= 0 {
+			*list = slices.Delete(*list, i, i+1)
+		}
 	}
-	if state == http.StateIdle {
+	switch state {
+	case http.StateNew:
+		l.fresh = append(l.fresh, c)
+	case http.StateIdle:
 		c.state.CompareAndSwap(connBusy, connIdle)
 		if l.idle = append(l.idle, c); l.draining {
 			c.closeIdle()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,36 @@
 	probes  []*probe // in the order the module asked for them
 }
 
+// names are the Request-Ids that are held. The loop alone changes them; the
+// client side looks, so that it reads no body of a request that cannot be taken.
+type names struct {
+	mu   sync.Mutex
+	held map[string]bool
+}
+
+// claim says whether a name was free, and holds it.
+func (n *names) claim(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.held[name] {
+		return false
+	}
+	n.held[name] = true
+	return true
+}
+
+func (n *names) free(name string) {
+	n.mu.Lock()
+	delete(n.held, name)
+	n.mu.Unlock()
+}
+
+func (n *names) has(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.held[name]
+}
+
 // loop owns the Balancer: every event comes to it by a channel, and it carries
 // out what the Balancer decides without ever waiting for I/O.
 type loop struct {
@@ -88,7 +119,7 @@
 
 	lastID   policy.RequestID
 	requests map[policy.RequestID]*request
-	names    map[string]bool // Request-Ids that are held
+	names    names
 	lastHost policy.ServerID
 	hosts    map[string]*host
 	byID     map[policy.ServerID]*host
@@ -104,7 +135,7 @@
 	l := &loop{
 		config: c, up: up, begin: time.Now(),
 		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
-		requests: make(map[policy.RequestID]*request), names: make(map[string]bool),
+		requests: make(map[policy.RequestID]*request), names: names{held: make(map[string]bool)},
 		hosts: make(map[string]*host), byID: make(map[policy.ServerID]*host), sites: make(map[string]int),
 	}
 	for i, z := range c.Zones {
@@ -197,7 +228,7 @@
 
 func (l *loop) arrive(r *request) {
 	// One id, one request: a second one under the same id might run its effect twice.
-	if l.names[r.name] {
+	if !l.names.claim(r.name) {
 		r.over = true
 		r.answer <- answer{status: http.StatusConflict}
 		return
@@ -205,7 +236,6 @@
 	l.lastID++
 	r.id = l.lastID
 	l.requests[r.id] = r
-	l.names[r.name] = true
 	l.b.Request(l.now, policy.Request{
 		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Left: time.Until(r.until),
 	})
@@ -214,7 +244,7 @@
 // close ends a request towards its client.
 func (l *loop) close(r *request) {
 	r.over = true
-	delete(l.names, r.name)
+	l.names.free(r.name)
 	if r.out == 0 {
 		delete(l.requests, r.id)
 	}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -192,7 +192,8 @@
 	return now.Sub(c.idle) < idleFor && c.r.Buffered() == 0 && quiet(c.Conn)
 }
 
-// quiet looks at a socket without blocking: nothing to read and not closed.
+// quiet looks at a socket without blocking: nothing to read and not closed. It
+// goes past the lock of readers, one of which may be waiting on the socket.
 func quiet(nc net.Conn) bool {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
@@ -203,11 +204,10 @@
 		return false
 	}
 	still := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		still = errors.Is(err, syscall.EAGAIN)
-		return true // never wait
 	})
 	return err == nil && still
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -18,6 +19,9 @@
 	socketsSpare     = 32 // standard streams, the listener, the poller and what the runtime opens
 	socketsDiscovery = 2
 	sweepEvery       = time.Second
+	// clientPart is how many tenths of the sockets are for clients: those that
+	// say nothing take some, until they are closed.
+	clientPart = 6
 	// lastConnections is how long new connections come after a planned restart
 	// was announced (0.4 s), and some time to take them out of the accept queue.
 	lastConnections = 600 * time.Millisecond
@@ -25,19 +29,27 @@
 	lastAnswers = 3 * time.Second
 )
 
-// Run listens and serves until stop is done, then finishes what was taken.
-func Run(stop context.Context, c *Config) error {
+// connections divides the sockets between the two sides.
+func (l Limits) connections() (clients, upstreams int) {
+	most := l.Sockets - socketsSpare - socketsDiscovery
+	clients = most * clientPart / 10
+	return clients, most - clients
+}
+
+// Run listens and serves until stop is done, then finishes what was taken. At
+// each value of reload it reads its configuration again.
+func Run(stop context.Context, reload <-chan os.Signal, c *Config) error {
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	return serve(stop, c, ln)
+	return serve(stop, reload, c, ln)
 }
 
-func serve(stop context.Context, c *Config, ln net.Listener) error {
+func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener) error {
 	defer ln.Close()
-	half := (c.Limits.Sockets - socketsSpare - socketsDiscovery) / 2
-	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, half), loadField: c.LoadField, statsPath: "/health/live"}
+	forClients, forUpstreams := c.Limits.connections()
+	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, forUpstreams), loadField: c.LoadField, statsPath: "/health/live"}
 	if c.Policy.Reports {
 		up.statsPath = "/stats"
 	}
@@ -59,17 +71,26 @@
 	loops.Go(func() { l.run(run) })
 	go sweep(run, up.pool)
 
-	limited := limitListener(ln, half)
+	limited := limitListener(ln, forClients)
 	server := newClients(c, l, limited.isDraining).server(limited)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(limited) }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
-	select {
-	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
+	for {
+		select {
+		case err := <-served:
+			return fmt.Errorf("serve: %w", err)
+		case <-stop.Done():
+			return shutDown(server, limited)
+		case <-reload:
+			was := c.Discovery
+			if err := c.reload(); err != nil {
+				slog.Error("configuration: the old one stays in force", "err", err)
+			} else if c.Discovery != was {
+				d.move(c.Discovery)
+			}
+		}
 	}
-	return shutDown(server, limited)
 }
 
 // shutDown ends service for a planned restart. New connections go on coming for
