Keep connections by host; an answer is whole by one length alone; reject before the body

Seen in the code and in a probe of the wire: the pool was keyed by address, so that a new host at a gone one's address got its connections (pool.go forget ran in a goroutine of its own, and put took back what was out). readBody took chunked answers, where net/http has dropped a length beside the encoding, and bodies that end with their connection; good answers here carry one length. What is not read of a 4xx's body was left to net/http, which resets the connection if the client said close: reject reads on after the answer itself.

Checked and ruled out: excess behind a good answer came in the same write on 465 answers; the rest of 2 ms before reuse and the look at reuse keep a later one from being read as the next answer. Lengths claimed take no memory ahead. Slices of the pool and sites that no host is at shrink now.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -48,7 +48,7 @@
 
 func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if status := framing(hr); status != 0 {
-		reject(w, status)
+		reject(w, hr, status)
 		return
 	}
 	if hr.URL.Path == "/health/ready" {
@@ -63,7 +63,7 @@
 	c.requests++
 	r, status := s.read(w, hr, c)
 	if r == nil {
-		reject(w, status)
+		reject(w, hr, status)
 		return
 	}
 	if !c.take() {
@@ -82,12 +82,20 @@
 
 // reject answers a request that is not taken and ends its connection: what else
 // waits there may be its body. That is not read before the answer, as it may be
-// of any size or never come; a connection that is closed with bytes unread is
-// reset, and the client may lose the answer, so a short rest is read after it.
-func reject(w http.ResponseWriter, status int) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerIn))
-	w.Header().Set("Connection", "close")
-	http.Error(w, http.StatusText(status), status)
+// of any size or never come. A connection that is closed with bytes unread is
+// reset, and the client may lose the answer: some of the rest is read after it.
+func reject(w http.ResponseWriter, hr *http.Request, status int) {
+	text := http.StatusText(status)
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	io.WriteString(w, text)
+	rc := http.NewResponseController(w)
+	rc.Flush()
+	rc.SetReadDeadline(time.Now().Add(lingerIn))
+	io.CopyN(io.Discard, hr.Body, maxBody)
 }
 
 // framing names the status for a request whose length is not certain, or 0.
@@ -208,8 +216,8 @@
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(by)
-	body := make([]byte, hr.ContentLength)
-	if _, err := io.ReadFull(hr.Body, body); err != nil {
+	body, err := readExactly(hr.Body, hr.ContentLength)
+	if err != nil {
 		return nil, err
 	}
 	rc.SetReadDeadline(time.Time{})
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -67,6 +68,7 @@
 type host struct {
 	id      policy.ServerID
 	entry   entry
+	peer    *peer
 	started time.Duration
 	probes  []*probe // in the order the module asked for them
 }
@@ -124,6 +126,7 @@
 	hosts    map[string]*host
 	byID     map[policy.ServerID]*host
 	sites    map[string]int
+	nextSite int
 }
 
 const (
@@ -141,6 +144,7 @@
 	for i, z := range c.Zones {
 		l.sites[z] = i
 	}
+	l.nextSite = len(c.Zones)
 	b, err := policy.New(c.Policy, c.Seed, l)
 	if err != nil {
 		return nil, err
@@ -302,14 +306,29 @@
 		if h.entry.Health == "removed" || (kind != policy.ListDelta && !named[name]) {
 			delete(l.hosts, name)
 			delete(l.byID, h.id)
-			go l.up.pool.forget(h.entry.Dial)
+			l.up.pool.retire(h.peer)
 		}
 	}
+	l.forgetSites()
 	if len(l.hosts) > 0 || kind != policy.ListCached {
 		l.ready.Store(true)
 	}
 }
 
+// forgetSites lets go of the sites that the settings do not name and no host is at any more.
+func (l *loop) forgetSites() {
+	if len(l.sites) <= len(l.config.Zones)+len(l.hosts) {
+		return
+	}
+	used := make(map[string]bool, len(l.hosts))
+	for _, h := range l.hosts {
+		used[h.entry.Site] = true
+	}
+	maps.DeleteFunc(l.sites, func(name string, number int) bool {
+		return number >= len(l.config.Zones) && !used[name]
+	})
+}
+
 // enter takes one entry of the list over. A word for its health that is not
 // known means nothing new, as draining does.
 func (l *loop) enter(e entry) (policy.Server, bool) {
@@ -325,10 +344,11 @@
 	}
 	if h == nil {
 		l.lastHost++
-		h = &host{id: l.lastHost}
+		h = &host{id: l.lastHost, peer: &peer{addr: e.Dial}}
 		l.hosts[e.Host], l.byID[h.id] = h, h
-	} else if h.entry.Dial != e.Dial {
-		go l.up.pool.forget(h.entry.Dial)
+	} else if h.entry.Dial != e.Dial || h.entry.BornMS != e.BornMS { // what was open to it leads nowhere now
+		l.up.pool.retire(h.peer)
+		h.peer = &peer{addr: e.Dial}
 	}
 	// A start ahead of this machine's clock would keep an upstream cold for too
 	// long; it is taken for now, and stays so while the entry names the same start.
@@ -338,7 +358,8 @@
 	h.entry = e
 	site, ok := l.sites[e.Site]
 	if !ok {
-		site = len(l.sites)
+		site = l.nextSite
+		l.nextSite++
 		l.sites[e.Site] = site
 	}
 	s := policy.Server{ID: h.id, Zone: site, Weight: e.Share, Started: h.started, State: policy.Draining}
@@ -375,7 +396,7 @@
 		l.local = append(l.local, ended{attempt: a, ending: policy.NotSent})
 		return
 	}
-	a.addr = h.entry.Dial
+	a.to = h.peer
 	go func() {
 		ending, ans := l.up.try(a)
 		l.events <- ended{a, ending, ans}
@@ -417,9 +438,9 @@
 	}
 	p := &probe{host: h}
 	h.probes = append(h.probes, p)
-	addr := h.entry.Dial
+	peer := h.peer
 	go func() {
-		ok, load := l.up.probe(context.Background(), addr)
+		ok, load := l.up.probe(context.Background(), peer)
 		l.events <- probed{p, ok, load}
 	}()
 }
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -13,10 +13,20 @@
 	"time"
 )
 
+// peer is one upstream to the pool. It stands for the host and not for its
+// address, which may be another host's tomorrow.
+type peer struct {
+	addr string
+
+	// The pool's lock guards these.
+	idle []*conn // the most recently used last
+	gone bool
+}
+
 // conn is a connection to an upstream with its buffers; it carries one request at a time.
 type conn struct {
 	net.Conn
-	addr  string
+	peer  *peer
 	limit io.LimitedReader // bounds what one answer may bring
 	r     *bufio.Reader    // reads through limit
 	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
@@ -32,31 +42,40 @@
 	slots chan struct{} // holds one for each connection that is open or being opened
 
 	mu      sync.Mutex
-	byAddr  map[string][]*conn // idle connections, the most recently used last
-	waiting int                // callers that wait for a slot
+	kept    map[*peer]bool // those with idle connections
+	waiting int            // callers that wait for a slot
 }
 
-// idleMargin is kept to the time after which upstreams close idle connections: a
-// request written to one that is being closed ends as a reset and may not be repeated.
-const idleMargin = 2 * time.Second
+const (
+	// idleMargin is kept to the time after which upstreams close idle connections: a
+	// request written to one that is being closed ends as a reset and may not be repeated.
+	idleMargin = 2 * time.Second
+	// restFor is how long a connection rests between an answer and the next
+	// request: what comes behind an answer and belongs to none shows by then, and
+	// must not be read as the next one's answer.
+	restFor = 2 * time.Millisecond
+	// keptBuffer is how large a buffer an idle connection may keep.
+	keptBuffer = 8 << 10
+)
 
 func newPool(dialTimeout, connIdle time.Duration, most int) *pool {
 	return &pool{
 		dialTimeout: dialTimeout,
 		idleFor:     max(connIdle-idleMargin, connIdle/2),
 		slots:       make(chan struct{}, most),
-		byAddr:      make(map[string][]*conn),
+		kept:        make(map[*peer]bool),
 	}
 }
 
-// get returns an idle connection to the address, the most recently used first,
+// get returns an idle connection to the upstream, the most recently used first,
 // or opens one.
-func (p *pool) get(ctx context.Context, addr string) (*conn, error) {
+func (p *pool) get(ctx context.Context, to *peer) (*conn, error) {
 	for {
-		c := p.takeIdle(addr)
+		c := p.takeIdle(to)
 		if c == nil {
-			return p.dial(ctx, addr)
+			return p.dial(ctx, to)
 		}
+		time.Sleep(restFor - time.Since(c.idle))
 		if c.usable(time.Now(), p.idleFor) {
 			return c, nil
 		}
@@ -64,32 +83,38 @@
 	}
 }
 
-func (p *pool) takeIdle(addr string) *conn {
+func (p *pool) takeIdle(to *peer) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.byAddr[addr]
-	if len(list) == 0 {
+	if len(to.idle) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
-	p.byAddr[addr] = list[:len(list)-1]
+	return p.takeLocked(to, len(to.idle)-1)
+}
+
+// takeLocked takes an idle connection out.
+func (p *pool) takeLocked(from *peer, i int) *conn {
+	c := from.idle[i]
+	if from.idle = slices.Delete(from.idle, i, i+1); len(from.idle) == 0 {
+		delete(p.kept, from)
+	}
 	return c
 }
 
 // dial opens a connection within the dial timeout, waiting for a slot included.
-func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+func (p *pool) dial(ctx context.Context, to *peer) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
 	if err := p.acquire(ctx); err != nil {
 		return nil, err
 	}
 	d := net.Dialer{KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		<-p.slots
 		return nil, err
 	}
-	c := &conn{Conn: nc, addr: addr, limit: io.LimitedReader{R: nc}}
+	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
@@ -125,27 +150,32 @@
 // oldestLocked takes out the connection that has been idle longest, or returns nil.
 func (p *pool) oldestLocked() *conn {
 	var oldest *conn
-	for _, list := range p.byAddr {
-		if len(list) > 0 && (oldest == nil || list[0].idle.Before(oldest.idle)) {
-			oldest = list[0]
+	for to := range p.kept {
+		if oldest == nil || to.idle[0].idle.Before(oldest.idle) {
+			oldest = to.idle[0]
 		}
 	}
 	if oldest != nil {
-		p.byAddr[oldest.addr] = p.byAddr[oldest.addr][1:]
+		p.takeLocked(oldest.peer, 0)
 	}
 	return oldest
 }
 
-// put gives a connection back whose last answer was read to its end.
+// put gives a connection back whose last answer was read to its end. One to a
+// host that has gone meanwhile is closed.
 func (p *pool) put(c *conn) {
 	c.idle = time.Now()
+	if c.out.Cap() > keptBuffer {
+		c.out = bytes.Buffer{}
+	}
 	p.mu.Lock()
-	if p.waiting > 0 {
+	if p.waiting > 0 || c.peer.gone {
 		p.mu.Unlock()
-		p.drop(c) // its slot is wanted
+		p.drop(c) // its slot is wanted, or itself no more
 		return
 	}
-	p.byAddr[c.addr] = append(p.byAddr[c.addr], c)
+	c.peer.idle = append(c.peer.idle, c)
+	p.kept[c.peer] = true
 	p.mu.Unlock()
 }
 
@@ -155,29 +185,29 @@
 	<-p.slots
 }
 
-// sweep closes the idle connections that are too old or that the peer has closed.
-func (p *pool) sweep(now time.Time) {
-	p.retain(func(c *conn) bool { return c.usable(now, p.idleFor) })
-}
-
-// forget closes the idle connections to an address that is not in use any more.
-func (p *pool) forget(addr string) {
-	p.retain(func(c *conn) bool { return c.addr != addr })
+// retire closes the idle connections to a host that has gone, and from now on
+// every other that is given back. Whoever is at its address next has its own.
+func (p *pool) retire(to *peer) {
+	p.mu.Lock()
+	idle := to.idle
+	to.idle, to.gone = nil, true
+	delete(p.kept, to)
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c)
+	}
 }
 
-func (p *pool) retain(keep func(*conn) bool) {
+// sweep closes the idle connections that are too old, that the peer has closed,
+// or on which something came that belongs to no request.
+func (p *pool) sweep(now time.Time) {
 	var dead []*conn
 	p.mu.Lock()
-	for addr, list := range p.byAddr {
-		p.byAddr[addr] = slices.DeleteFunc(list, func(c *conn) bool {
-			if keep(c) {
-				return false
+	for to := range p.kept {
+		for i := len(to.idle) - 1; i >= 0; i-- {
+			if !to.idle[i].usable(now, p.idleFor) {
+				dead = append(dead, p.takeLocked(to, i))
 			}
-			dead = append(dead, c)
-			return true
-		})
-		if len(p.byAddr[addr]) == 0 {
-			delete(p.byAddr, addr)
 		}
 	}
 	p.mu.Unlock()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,6 +23,9 @@
 // maxAnswer bounds what is read for one answer, its header and framing included.
 const maxAnswer = 4 * maxBody
 
+// trusted is how much is set aside for a body on the word of its length alone.
+const trusted = 4 << 10
+
 // maxReport bounds the body of a probe's answer that is looked at.
 const maxReport = 4 << 10
 
@@ -31,7 +34,7 @@
 type attempt struct {
 	req    *request
 	number int
-	addr   string
+	to     *peer
 	ctx    context.Context // ends when the attempt is given up
 	cancel context.CancelFunc
 }
@@ -58,7 +61,7 @@
 	var resp *http.Response
 	var body []byte
 	wrote := false
-	c, err := u.pool.get(a.ctx, a.addr)
+	c, err := u.pool.get(a.ctx, a.to)
 	if err == nil {
 		resp, body, wrote, err = u.exchange(a.ctx, c, a.req.outgoing(a.ctx))
 	}
@@ -129,17 +132,33 @@
 	return resp, body, true, nil
 }
 
+// readBody reads an answer's body if the answer proves to be whole: by one
+// valid length of its own. net/http drops a Content-Length beside a
+// Transfer-Encoding, and the two may name different ends; a body that ends with
+// its connection may have been cut anywhere.
 func readBody(resp *http.Response) ([]byte, error) {
-	if n := resp.ContentLength; n >= 0 && n <= maxBody {
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err == nil && len(body) > maxBody {
-		err = errors.New("body too large")
+	switch n := resp.ContentLength; {
+	case len(resp.TransferEncoding) > 0 || n < 0:
+		return nil, errors.New("no length")
+	case n > maxBody:
+		return nil, errors.New("body too large")
 	}
-	return body, err
+	return readExactly(resp.Body, resp.ContentLength)
+}
+
+// readExactly reads n bytes. A length that somebody claims takes no memory
+// before the bytes have come.
+func readExactly(r io.Reader, n int64) ([]byte, error) {
+	if n <= trusted {
+		b := make([]byte, n)
+		_, err := io.ReadFull(r, b)
+		return b, err
+	}
+	b, err := io.ReadAll(io.LimitReader(r, n))
+	if err == nil && int64(len(b)) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return b, err
 }
 
 // outgoing is the client's request as it goes to an upstream: unchanged, but for
@@ -164,16 +183,16 @@
 
 // probe asks an upstream for a sign of life and its load. Without any answer in
 // the time that a connection may take to come up, it has failed.
-func (u *upstreams) probe(ctx context.Context, addr string) (ok bool, load policy.Load) {
+func (u *upstreams) probe(ctx context.Context, to *peer) (ok bool, load policy.Load) {
 	load.InFlight = -1
 	ctx, cancel := context.WithTimeout(ctx, u.pool.dialTimeout)
 	defer cancel()
-	c, err := u.pool.get(ctx, addr)
+	c, err := u.pool.get(ctx, to)
 	if err != nil {
 		return false, load
 	}
 	req := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: u.statsPath}, Host: addr,
+		Method: http.MethodGet, URL: &url.URL{Path: u.statsPath}, Host: to.addr,
 		Header: http.Header{"User-Agent": {""}},
 	}
 	resp, body, _, err := u.exchange(ctx, c, req)
