Take connections that break at once for one event; leave room at a server reported full

Three to five servers were out, judged by several connections that had broken in one moment (judge), and the rest were passed over at 2 requests on 2 cores, as often the other sidecar's 2 of a report that was older than these requests take (pick).

Now a Broken of an attempt that was out when the server's last connection broke is no further evidence, and a server is full at its part and two.

--- a/policy/api.go
+++ b/policy/api.go
@@ -4,7 +4,7 @@
 // A Balancer is single-threaded and deterministic: it has no goroutines, no
 // clock and no I/O. The program that embeds it calls one method per event and
 // passes the time; the Balancer answers through the Host it was given. This
-// file is the interface; every decision is in policy.go.
+// file is the interface; the decisions are in policy.go and health.go.
 package policy
 
 import "time"
--- /dev/null
+++ b/policy/health.go
@@ -0,0 +1,60 @@
+package policy
+
+import "time"
+
+const (
+	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again, or the
+	lastPause  = 4 * time.Second        // list asked for; doubled after each failure up to this
+)
+
+// backoff is the pause after n failures, spread so that balancers do not act as one.
+func (b *Balancer) backoff(n int) time.Duration {
+	d := min(firstPause<<min(n, 16), lastPause)
+	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
+}
+
+// judge learns from the end of an attempt.
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
+	s, took := a.to, now-a.sent
+	if end == Served || end == TimedOut {
+		x := float64(took) / float64(r.class.Aim)
+		s.used += (x*x - s.used) / 8
+	}
+	switch end {
+	case Served:
+		r.class.pace += (took - r.class.pace) / 16
+		b.pace += (took - b.pace) / 32
+		b.answered(now, s)
+	case TimedOut:
+		if s.heard <= a.sent {
+			b.strike(now, s) // nothing at all came from it meanwhile
+		}
+	case Errored, Broken: // one may be chance; a server that fails all it gets is not
+		if end == Broken && a.sent < s.brokeAt {
+			break // its connections broke all at once
+		}
+		if s.brokeAt = now; s.doubted {
+			b.strike(now, s)
+		}
+		s.doubted = true
+	case TurnedAway, NoConnection:
+		b.strike(now, s)
+	}
+}
+
+// answered takes a good answer: whatever was held against a server is over.
+func (b *Balancer) answered(now time.Duration, s *server) {
+	s.heard, s.strikes, s.doubted = now, 0, false
+	if s.unwell {
+		s.unwell = false
+		b.weigh(now)
+	}
+}
+
+// strike takes evidence against a server: it loses its turn but for a trial after a pause.
+func (b *Balancer) strike(now time.Duration, s *server) {
+	s.trialAt = now + b.backoff(s.strikes)
+	s.strikes++
+	s.unwell = true
+	b.weigh(now)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,7 @@
 // The interface (types, events, actions) is api.go; every decision is here, in
 // this order: start, events, compartments, the gate that all sends pass,
-// server choice, server health, server list, load reports, endings.
+// server choice, server list, load reports, endings. What is held for or against
+// a server is health.go.
 
 package policy
 
@@ -31,9 +32,6 @@
 	shedSlack  = 0.5             // passed in any case: fewer tell nothing
 	probeEvery = 2               // requests for each load report asked for, where traffic is not thin
 	coldPart   = 0.5             // of a cold server's budget this much is used, the rest is left to chance
-
-	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again, or the
-	lastPause  = 4 * time.Second        // list asked for; doubled after each failure up to this
 )
 
 // New makes a Balancer, or returns an error that names the unusable field.
@@ -402,7 +400,7 @@
 			case (near && (s.Zone != b.cfg.Zone || b.thin && s.spare)) || r.tried(s) || !b.mayGo(now, r, s):
 				continue
 			case b.well > 0 && s.unwell && (now < s.trialAt || s.out > 0), float64(s.out) >= b.portion(s),
-				now-s.toldAt < time.Second && s.others+float64(s.out) >= 1+b.part(b.mean, s): // reported full
+				now-s.toldAt < time.Second && s.others+float64(s.out) >= 2+b.part(b.mean, s): // reported full
 				lost = max(lost, s.turn+s.Weight)
 				continue
 			}
@@ -438,54 +436,6 @@
 	return max(1, b.part(float64(b.slots), s)*min(1, crowdedAt*crowdedAt/max(s.used, 1e-4)))
 }
 
-// backoff is the pause after n failures, spread so that balancers do not act as one.
-func (b *Balancer) backoff(n int) time.Duration {
-	d := min(firstPause<<min(n, 16), lastPause)
-	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
-}
-
-// judge learns from the end of an attempt.
-func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
-	s, took := a.to, now-a.sent
-	if end == Served || end == TimedOut {
-		x := float64(took) / float64(r.class.Aim)
-		s.used += (x*x - s.used) / 8
-	}
-	switch end {
-	case Served:
-		r.class.pace += (took - r.class.pace) / 16
-		b.pace += (took - b.pace) / 32
-		b.answered(now, s)
-	case TimedOut:
-		if s.heard <= a.sent {
-			b.strike(now, s) // nothing at all came from it meanwhile
-		}
-	case Errored, Broken:
-		if s.strikes++; s.strikes > 1 { // guards against a server that fails all it gets; one may be chance
-			b.strike(now, s)
-		}
-	case TurnedAway, NoConnection:
-		b.strike(now, s)
-	}
-}
-
-// answered takes a good answer: whatever was held against a server is over.
-func (b *Balancer) answered(now time.Duration, s *server) {
-	s.heard, s.strikes = now, 0
-	if s.unwell {
-		s.unwell = false
-		b.weigh(now)
-	}
-}
-
-// strike takes evidence against a server: it loses its turn but for a trial after a pause.
-func (b *Balancer) strike(now time.Duration, s *server) {
-	s.trialAt = now + b.backoff(s.strikes)
-	s.strikes++
-	s.unwell = true
-	b.weigh(now)
-}
-
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
@@ -527,7 +477,7 @@
 	s.Server = e
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
-		s.unwell, s.strikes, s.heard = false, 0, now
+		s.unwell, s.strikes, s.doubted, s.heard = false, 0, false, now
 		// All balancers are told at once: their first sends together would push it over.
 		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,6 +18,8 @@
 	spare   bool          // not among this balancer's first choice
 	unwell  bool          // evidence was against it; it gets trials only
 	strikes int           // evidence against it since its last answer
+	doubted bool          // and one failure that may be chance
+	brokeAt time.Duration // when it failed last
 	trialAt time.Duration // next trial
 	warmAt  time.Duration // cold until then, by the list
 	coldAt  time.Duration // while cold: nothing more before this
