Take answers of up to 1 MiB; set a large body aside in two steps

A temporary log of each broken exchange showed good answers with a Content-Length of 180000 to 400000, which readBody called too large at the protocol's 64 KiB.

Checked and ruled out: 600 requests rejected there with 400 were cut off by clients that left in the middle of a body.

Answers are bounded to 1 MiB, headers to 128 KiB, and a client that does not read its answer holds it for 1 s after it has given up at the most.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -24,6 +24,7 @@
 	readHeaderIn = 2 * time.Second
 	requestIn    = 2500 * time.Millisecond // header and body
 	idleClient   = 3 * time.Second         // between requests
+	writeAfter   = time.Second             // the time at which the client gives up
 	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
 
@@ -77,6 +78,8 @@
 		s.loop.events <- left{r}
 		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
 	}
+	// A client that does not read by then has given up; its answer is not held for it.
+	http.NewResponseController(w).SetWriteDeadline(r.until.Add(writeAfter))
 	s.write(w, a)
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -17,14 +17,18 @@
 	"mothridge/policy"
 )
 
-// maxBody is what a request or an answer may hold.
+// maxBody is what a request may hold.
 const maxBody = 64 << 10
 
-// maxAnswer bounds what is read for one answer, its header and framing included.
-const maxAnswer = 4 * maxBody
+// What is read for one answer is bounded. Upstreams send bodies of several times
+// what the protocol names; 1 MiB of them can be held for as many as are out.
+const (
+	maxAnswerHead = 128 << 10 // interim answers included
+	maxAnswerBody = 1 << 20
+)
 
 // trusted is how much is set aside for a body on the word of its length alone.
-const trusted = 4 << 10
+const trusted = 8 << 10
 
 // maxReport bounds the body of a probe's answer that is looked at.
 const maxReport = 4 << 10
@@ -92,7 +96,7 @@
 func (u *upstreams) exchange(ctx context.Context, c *conn, req *http.Request) (
 	resp *http.Response, body []byte, wrote bool, err error,
 ) {
-	c.limit.N = maxAnswer
+	c.limit.N = maxAnswerHead
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer func() {
 		// If stop comes too late the connection is closed, or about to be.
@@ -124,6 +128,7 @@
 			return nil, nil, true, fmt.Errorf("read answer: unexpected status %d", resp.StatusCode)
 		}
 	}
+	c.limit.N = maxAnswerBody
 	// The body is not closed: that would read on in one that is too large. What
 	// is not read to its end ends with its connection.
 	if body, err = readBody(resp); err != nil {
@@ -140,24 +145,22 @@
 	switch n := resp.ContentLength; {
 	case len(resp.TransferEncoding) > 0 || n < 0:
 		return nil, errors.New("no length")
-	case n > maxBody:
+	case n > maxAnswerBody:
 		return nil, errors.New("body too large")
 	}
 	return readExactly(resp.Body, resp.ContentLength)
 }
 
-// readExactly reads n bytes. A length that somebody claims takes no memory
-// before the bytes have come.
+// readExactly reads n bytes. A length that somebody claims takes little memory
+// before bytes have come, and their rest is set aside at once: growing step by
+// step would copy a large body over and over.
 func readExactly(r io.Reader, n int64) ([]byte, error) {
-	if n <= trusted {
-		b := make([]byte, n)
-		_, err := io.ReadFull(r, b)
+	b := make([]byte, min(n, trusted))
+	if _, err := io.ReadFull(r, b); err != nil || n <= trusted {
 		return b, err
 	}
-	b, err := io.ReadAll(io.LimitReader(r, n))
-	if err == nil && int64(len(b)) < n {
-		err = io.ErrUnexpectedEOF
-	}
+	b = append(make([]byte, 0, n), b...)[:n]
+	_, err := io.ReadFull(r, b[trusted:])
 	return b, err
 }
 
