--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -53,10 +53,13 @@
 // false the request must be left alone.
 func (c *clientConn) take() bool { return c.state.CompareAndSwap(connIdle, connBusy) }
 
-func (c *clientConn) closeIdle() {
-	if c.state.CompareAndSwap(connIdle, connClosed) {
+// closeIdle closes the connection unless a request of it has been taken.
+func (c *clientConn) closeIdle() bool {
+	idle := c.state.CompareAndSwap(connIdle, connClosed)
+	if idle {
 		c.Close()
 	}
+	return idle
 }
 
 // silent says whether the client has sent nothing so far, though it had the time to.
@@ -120,9 +123,10 @@
 	defer l.mu.Unlock()
 	for l.open >= l.most {
 		c, soon := l.victim(time.Now())
-		if c != nil {
-			c.closeIdle()
-		} else if soon {
+		switch {
+		case c != nil && !c.closeIdle():
+			continue // a request of it was taken a moment ago: another one, then
+		case soon:
 			again := time.AfterFunc(speakIn, l.freed.Signal)
 			defer again.Stop()
 		}
