Keep few client connections idle; let unfinished requests give way at the bound

A log of the listener each second showed 125 to 128 idle connections of 210, nothing evicted: 128 is the third of the descriptors that clients may hold. Each had asked once and stayed.

To blame is listener.go: idle connections were closed at the sidecar's own bound only, which is above the clients'. Now three tenths of it may be idle; the longest idle is closed beyond that, and any after 2 s.

--- a/internal/sidecar/client.go
+++ b/internal/sidecar/client.go
@@ -23,7 +23,7 @@
 	// Connections are few, and a client is owed a word within 3 s of connecting.
 	readHeaderIn = 2 * time.Second
 	requestIn    = 2500 * time.Millisecond // header and body
-	idleClient   = 3 * time.Second         // between requests
+	idleClient   = 2 * time.Second         // between requests; clients need those back that they leave idle
 	writeAfter   = time.Second             // the time at which the client gives up
 	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -21,7 +21,8 @@
 	accepted time.Time
 	heard    atomic.Bool // something was read from it
 	state    atomic.Int32
-	requests int // whose headers were read; net/http serves one at a time
+	requests int       // whose headers were read; net/http serves one at a time
+	since    time.Time // of its last change of state; the listener's lock guards it
 }
 
 const (
@@ -64,7 +65,7 @@
 
 // silent says whether the client has sent nothing so far, though it had the time to.
 func (c *clientConn) silent(now time.Time) bool {
-	return now.Sub(c.accepted) >= speakIn && !c.heard.Load() && quiet(c.TCPConn)
+	return now.Sub(c.since) >= speakIn && !c.heard.Load() && quiet(c.TCPConn)
 }
 
 type connKey struct{}
@@ -75,10 +76,11 @@
 }
 
 // limitedListener bounds the open client connections. At the bound it closes
-// the oldest of those that never said a thing, or else the one that has been
-// idle longest, which a client can tell from a failure; where there is neither
-// it leaves new ones waiting to be accepted. Hundreds that connect and say
-// nothing must not take the places of clients that ask.
+// the oldest of those that never said a thing or that have not finished what
+// they began, or else the one that has been idle longest, which a client can
+// tell from a failure; where there is none it leaves new ones waiting to be
+// accepted. Hundreds that connect and say nothing, or half a request, must not
+// take the places of clients that ask.
 type limitedListener struct {
 	net.Listener
 	most int
@@ -86,14 +88,21 @@
 	mu       sync.Mutex
 	freed    *sync.Cond
 	open     int
-	fresh    []*clientConn // no request of theirs was read, in order of arrival
+	begun    []*clientConn // new, or with a request that is read or answered; the oldest first
 	idle     []*clientConn // between requests, the longest idle first
 	draining bool
 }
 
-// speakIn is how long after it was accepted a connection is not held to be
-// silent: its first bytes may be on their way.
-const speakIn = 50 * time.Millisecond
+const (
+	// speakIn is how long a new connection is not held to be silent: its first
+	// bytes may be on their way.
+	speakIn = 50 * time.Millisecond
+	// finishIn is how long a request may take to come whole where others wait.
+	finishIn = 200 * time.Millisecond
+	// idlePart is how many tenths may be idle. Clients count those too as theirs,
+	// and where each asks once and stays they could soon open no more.
+	idlePart = 3
+)
 
 func limitListener(l net.Listener, most int) *limitedListener {
 	ll := &limitedListener{Listener: l, most: most}
@@ -136,15 +145,18 @@
 }
 
 // victim takes out the connection to give up for a new one. Where there is none,
-// soon tells that one may turn out to be silent in a moment: until then those
-// whose clients asked lately are left alone.
+// soon tells that one may turn out to be it in a moment: until then those whose
+// clients asked lately are left alone.
 func (l *limitedListener) victim(now time.Time) (c *clientConn, soon bool) {
-	for i, c := range l.fresh {
-		if c.silent(now) {
-			l.fresh = slices.Delete(l.fresh, i, i+1)
+	for i, c := range l.begun {
+		if c.state.Load() != connIdle {
+			continue // its request was taken
+		}
+		if c.silent(now) || now.Sub(c.since) >= finishIn {
+			l.begun = slices.Delete(l.begun, i, i+1)
 			return c, false
 		}
-		soon = soon || !c.heard.Load()
+		soon = true
 	}
 	if len(l.idle) == 0 || soon {
 		return nil, soon
@@ -182,18 +194,22 @@
 func (l *limitedListener) track(nc net.Conn, state http.ConnState) {
 	c := nc.(*clientConn)
 	l.mu.Lock()
-	for _, list := range []*[]*clientConn{&l.fresh, &l.idle} {
+	for _, list := range []*[]*clientConn{&l.begun, &l.idle} {
 		if i := slices.Index(*list, c); i >= 0 {
 			*list = slices.Delete(*list, i, i+1)
 		}
 	}
+	c.since = time.Now()
 	switch state {
-	case http.StateNew:
-		l.fresh = append(l.fresh, c)
+	case http.StateNew, http.StateActive:
+		l.begun = append(l.begun, c)
 	case http.StateIdle:
 		c.state.CompareAndSwap(connBusy, connIdle)
 		if l.idle = append(l.idle, c); l.draining {
 			c.closeIdle()
+		} else if len(l.idle) > l.most*idlePart/10 {
+			l.idle[0].closeIdle()
+			l.idle = slices.Delete(l.idle, 0, 1)
 		}
 	}
 	l.mu.Unlock()
