--- a/internal/sidecar/loop.go
+++ b/internal/core/core.go
@@ -1,58 +1,32 @@
-package sidecar
+package core
 
 import (
 	"context"
 	"log/slog"
 	"maps"
-	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"mothridge/internal/settings"
 	"mothridge/policy"
 )
 
-// request is a client's request while it is held. The fields that go to an
-// upstream are fixed before the loop sees it; the rest belongs to the loop.
-type request struct {
-	name   string // the client's Request-Id
-	class  int
-	tenant int
-	repeat bool
-	work   time.Duration // a guess at it; 0 where there is none
-	until  time.Time     // when the client gives up
-	method string
-	url    *url.URL
-	host   string
-	header http.Header
-	body   []byte
-	answer chan answer // takes the one answer; never blocks
-
-	id       policy.RequestID
-	over     bool // answered, or the client has gone
-	attempts []*attempt
-	out      int  // attempts that have not ended
-	timedOut bool // the last attempt did
-}
-
 // The events that I/O goroutines send to the loop.
 type (
-	arrived struct{ req *request }
-	left    struct{ req *request } // the client has gone
+	arrived struct{ req *Request }
+	left    struct{ req *Request } // the client has gone
 	ended   struct {
 		attempt *attempt
 		ending  policy.Ending
-		answer  *answer // with Served
+		answer  *Answer // with Served
 	}
 	probed struct {
 		probe *probe
 		ok    bool
 		load  policy.Load
 	}
-	listed     struct{ news listing }
+	listed     struct{ news News }
 	listFailed struct{}
 )
 
@@ -67,8 +41,8 @@
 // host is an upstream of the list.
 type host struct {
 	id      policy.ServerID
-	entry   entry
-	peer    *peer
+	entry   Instance
+	node    Node
 	started time.Duration
 	probes  []*probe // in the order the module asked for them
 }
@@ -103,12 +77,20 @@
 	return n.held[name]
 }
 
-// loop owns the Balancer: every event comes to it by a channel, and it carries
+// Config is what a Core is made of.
+type Config struct {
+	Policy policy.Config
+	Seed   uint64
+	Zones  []string            // by number
+	Known  *News               // the list as last held; nil where there is none
+	Reach  func(Instance) Node // makes the node of an instance, without I/O
+}
+
+// Core owns the Balancer: every event comes to it by a channel, and it carries
 // out what the Balancer decides without ever waiting for I/O.
-type loop struct {
-	config *Config
+type Core struct {
+	config Config
 	b      *policy.Balancer
-	up     *upstreams
 	events chan any
 	local  []any // events that the loop makes itself
 	ready  atomic.Bool
@@ -120,7 +102,7 @@
 	dueAt time.Duration // when Wake is due; 0: not armed
 
 	lastID   policy.RequestID
-	requests map[policy.RequestID]*request
+	requests map[policy.RequestID]*Request
 	names    names
 	lastHost policy.ServerID
 	hosts    map[string]*host
@@ -134,11 +116,13 @@
 	logEvery     = time.Minute
 )
 
-func newLoop(c *Config, up *upstreams) (*loop, error) {
-	l := &loop{
-		config: c, up: up, begin: time.Now(),
+// New makes a Core; Run starts it. The error names the unusable field of the
+// decision module's settings.
+func New(c Config) (*Core, error) {
+	l := &Core{
+		config: c, begin: time.Now(),
 		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
-		requests: make(map[policy.RequestID]*request), names: names{held: make(map[string]bool)},
+		requests: make(map[policy.RequestID]*Request), names: names{held: make(map[string]bool)},
 		hosts: make(map[string]*host), byID: make(map[policy.ServerID]*host), sites: make(map[string]int),
 	}
 	for i, z := range c.Zones {
@@ -162,12 +146,34 @@
 // that an upstream's earlier start is a positive time on it. Counted from 0, an
 // upstream that started before this process would pass for one of long ago, and
 // the rule on cold upstreams would be lost.
-func (l *loop) clock() time.Duration {
+func (l *Core) clock() time.Duration {
 	return time.Duration(l.begin.UnixNano()) + time.Since(l.begin)
 }
 
-// run handles events until ctx ends.
-func (l *loop) run(ctx context.Context) {
+// Submit takes a request on: Reply is called exactly once, unless Abandon is
+// called before. It waits while the core is behind.
+func (l *Core) Submit(r *Request) { l.events <- arrived{r} }
+
+// Abandon says that the client of a request has gone; Reply may still have been called.
+func (l *Core) Abandon(r *Request) { l.events <- left{r} }
+
+// Update passes news of the list on.
+func (l *Core) Update(n News) { l.events <- listed{n} }
+
+// UpdateFailed says that a call for the list failed or its watch ended.
+func (l *Core) UpdateFailed() { l.events <- listFailed{} }
+
+// Asks brings the module's calls for the list, where that is its to ask.
+func (l *Core) Asks() <-chan struct{} { return l.asks }
+
+// Ready says whether a list is held.
+func (l *Core) Ready() bool { return l.ready.Load() }
+
+// Holds says whether a request of that name is held.
+func (l *Core) Holds(name string) bool { return l.names.has(name) }
+
+// Run handles events until ctx ends.
+func (l *Core) Run(ctx context.Context) {
 	logTick := time.NewTicker(logEvery)
 	defer logTick.Stop()
 	for {
@@ -192,7 +198,7 @@
 	}
 }
 
-func (l *loop) wake() {
+func (l *Core) wake() {
 	if l.dueAt == 0 {
 		return
 	}
@@ -204,7 +210,7 @@
 	l.b.Wake(l.now)
 }
 
-func (l *loop) handle(e any) {
+func (l *Core) handle(e any) {
 	switch e := e.(type) {
 	case arrived:
 		l.arrive(e.req)
@@ -230,39 +236,39 @@
 	}
 }
 
-func (l *loop) arrive(r *request) {
+func (l *Core) arrive(r *Request) {
 	// One id, one request: a second one under the same id might run its effect twice.
-	if !l.names.claim(r.name) {
+	if !l.names.claim(r.ID) {
 		r.over = true
-		r.answer <- answer{status: http.StatusConflict}
+		r.Reply(Answer{Verdict: Duplicate})
 		return
 	}
 	l.lastID++
 	r.id = l.lastID
 	l.requests[r.id] = r
 	l.b.Request(l.now, policy.Request{
-		ID: r.id, Class: r.class, Tenant: r.tenant, Repeat: r.repeat, Work: r.work, Left: time.Until(r.until),
+		ID: r.id, Class: r.Class, Tenant: r.Tenant, Repeat: r.Repeat, Work: r.Work, Left: time.Until(r.Until),
 	})
 }
 
 // close ends a request towards its client.
-func (l *loop) close(r *request) {
+func (l *Core) close(r *Request) {
 	r.over = true
-	l.names.free(r.name)
+	l.names.free(r.ID)
 	if r.out == 0 {
 		delete(l.requests, r.id)
 	}
 }
 
 // finish gives a request its one answer.
-func (l *loop) finish(id policy.RequestID, a answer) {
+func (l *Core) finish(id policy.RequestID, a Answer) {
 	if r := l.requests[id]; r != nil && !r.over {
 		l.close(r)
-		r.answer <- a
+		r.Reply(a)
 	}
 }
 
-func (l *loop) end(e ended) {
+func (l *Core) end(e ended) {
 	a, r := e.attempt, e.attempt.req
 	r.out--
 	r.timedOut = e.ending == policy.TimedOut
@@ -278,7 +284,7 @@
 
 // probesDone hands a host's probe results over in the order they were asked
 // for, as the module matches them: a later one may be back first.
-func (l *loop) probesDone(h *host) {
+func (l *Core) probesDone(h *host) {
 	for len(h.probes) > 0 && h.probes[0].done {
 		p := h.probes[0]
 		h.probes = h.probes[1:]
@@ -287,26 +293,26 @@
 }
 
 // list takes news of the list over and passes them to the module.
-func (l *loop) list(kind policy.ListKind, news listing) {
-	servers := make([]policy.Server, 0, len(news.Hosts))
-	named := make(map[string]bool, len(news.Hosts))
-	for _, e := range news.Hosts {
-		if named[e.Host] && kind != policy.ListDelta {
-			slog.Warn("discovery: host listed twice", "host", e.Host)
+func (l *Core) list(kind policy.ListKind, news News) {
+	servers := make([]policy.Server, 0, len(news.Instances))
+	named := make(map[string]bool, len(news.Instances))
+	for _, e := range news.Instances {
+		if named[e.Name] && kind != policy.ListDelta {
+			slog.Warn("discovery: host listed twice", "host", e.Name)
 		}
 		if s, ok := l.enter(e); ok {
-			named[e.Host] = true
+			named[e.Name] = true
 			servers = append(servers, s)
-		} else if e.Health != "removed" {
-			slog.Warn("discovery: entry passed over", "host", e.Host, "dial", e.Dial, "health", e.Health)
+		} else if e.Health != Removed {
+			slog.Warn("discovery: entry passed over", "host", e.Name, "dial", e.Addr)
 		}
 	}
 	l.b.List(l.now, kind, servers)
 	for name, h := range l.hosts {
-		if h.entry.Health == "removed" || (kind != policy.ListDelta && !named[name]) {
+		if h.entry.Health == Removed || (kind != policy.ListDelta && !named[name]) {
 			delete(l.hosts, name)
 			delete(l.byID, h.id)
-			l.up.pool.retire(h.peer)
+			h.node.Retire()
 		}
 	}
 	l.forgetSites()
@@ -316,7 +322,7 @@
 }
 
 // forgetSites lets go of the sites that the settings do not name and no host is at any more.
-func (l *loop) forgetSites() {
+func (l *Core) forgetSites() {
 	if len(l.sites) <= len(l.config.Zones)+len(l.hosts) {
 		return
 	}
@@ -331,29 +337,29 @@
 
 // enter takes one entry of the list over. A word for its health that is not
 // known means nothing new, as draining does.
-func (l *loop) enter(e entry) (policy.Server, bool) {
-	if e.Host == "" {
+func (l *Core) enter(e Instance) (policy.Server, bool) {
+	if e.Name == "" {
 		return policy.Server{}, false
 	}
-	h := l.hosts[e.Host]
-	if _, err := netip.ParseAddrPort(e.Dial); err != nil {
-		if h == nil || e.Health == "up" {
+	h := l.hosts[e.Name]
+	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
+		if h == nil || e.Health == Up {
 			return policy.Server{}, false
 		}
-		e.Dial = h.entry.Dial // it is to get nothing new: its address does not matter
+		e.Addr = h.entry.Addr // it is to get nothing new: its address does not matter
 	}
 	if h == nil {
 		l.lastHost++
-		h = &host{id: l.lastHost, peer: &peer{addr: e.Dial}}
-		l.hosts[e.Host], l.byID[h.id] = h, h
-	} else if h.entry.Dial != e.Dial || h.entry.BornMS != e.BornMS { // what was open to it leads nowhere now
-		l.up.pool.retire(h.peer)
-		h.peer = &peer{addr: e.Dial}
+		h = &host{id: l.lastHost, node: l.config.Reach(e)}
+		l.hosts[e.Name], l.byID[h.id] = h, h
+	} else if h.entry.Addr != e.Addr || h.entry.Started != e.Started { // what was open to it leads nowhere now
+		h.node.Retire()
+		h.node = l.config.Reach(e)
 	}
 	// A start ahead of this machine's clock would keep an upstream cold for too
 	// long; it is taken for now, and stays so while the entry names the same start.
-	if h.entry.BornMS != e.BornMS || h.started == 0 {
-		h.started = min(max(settings.Millis(e.BornMS), 0), l.now)
+	if h.entry.Started != e.Started || h.started == 0 {
+		h.started = min(max(e.Started, 0), l.now)
 	}
 	h.entry = e
 	site, ok := l.sites[e.Site]
@@ -362,21 +368,21 @@
 		l.nextSite++
 		l.sites[e.Site] = site
 	}
-	s := policy.Server{ID: h.id, Zone: site, Weight: e.Share, Started: h.started, State: policy.Draining}
-	if s.Cell = -int(h.id); e.Block != nil { // without a cell it shares its keys with no other
-		s.Cell = *e.Block
+	s := policy.Server{ID: h.id, Zone: site, Weight: e.Weight, Started: h.started, State: policy.Draining}
+	if s.Cell = -int(h.id); e.Cell != nil { // without a cell it shares its keys with no other
+		s.Cell = *e.Cell
 	}
 	switch e.Health {
-	case "up":
+	case Up:
 		s.State = policy.Ready
-	case "removed":
+	case Removed:
 		s.State = policy.Gone
 	}
 	return s, true
 }
 
 // Send starts an attempt.
-func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (l *Core) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
 	r, h := l.requests[id], l.byID[to]
 	if r == nil {
 		return
@@ -384,7 +390,7 @@
 	a := &attempt{req: r, number: len(r.attempts)}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	until := r.until
+	until := r.Until
 	if timeout != 0 {
 		if cut := time.Now().Add(timeout); cut.Before(until) {
 			until = cut
@@ -396,57 +402,58 @@
 		l.local = append(l.local, ended{attempt: a, ending: policy.NotSent})
 		return
 	}
-	a.to = h.peer
+	node := h.node
 	go func() {
-		ending, ans := l.up.try(a)
+		defer a.cancel()
+		ending, ans := node.Try(a.ctx, &r.Message)
 		l.events <- ended{a, ending, ans}
 	}()
 }
 
-// Refuse answers 503: trying again is harmless.
-func (l *loop) Refuse(id policy.RequestID, pause time.Duration) {
-	l.finish(id, answer{status: http.StatusServiceUnavailable, pause: pause})
+// Refuse tells the client that trying again is harmless.
+func (l *Core) Refuse(id policy.RequestID, pause time.Duration) {
+	l.finish(id, Answer{Verdict: Refused, Pause: pause})
 }
 
-// Fail answers without a promise: never with 429 or 503, which are refusals.
-func (l *loop) Fail(id policy.RequestID) {
-	status := http.StatusBadGateway
+// Fail answers without a promise.
+func (l *Core) Fail(id policy.RequestID) {
+	verdict := Failed
 	if r := l.requests[id]; r != nil && (r.timedOut || r.out > 0) { // time ran out, whoever noticed first
-		status = http.StatusGatewayTimeout
+		verdict = TimedOut
 	}
-	l.finish(id, answer{status: status})
+	l.finish(id, Answer{Verdict: verdict})
 }
 
-// Cancel gives an attempt up, which closes its connection.
-func (l *loop) Cancel(id policy.RequestID, number int) {
+// Cancel gives an attempt up.
+func (l *Core) Cancel(id policy.RequestID, number int) {
 	if r := l.requests[id]; r != nil && number >= 0 && number < len(r.attempts) {
 		r.attempts[number].cancel()
 	}
 }
 
 // Wake arms the one timer. The module asks again only for an earlier time.
-func (l *loop) Wake(d time.Duration) {
+func (l *Core) Wake(d time.Duration) {
 	l.dueAt = l.now + d
 	l.timer.Reset(d)
 }
 
 // Probe asks an upstream for its load.
-func (l *loop) Probe(to policy.ServerID) {
+func (l *Core) Probe(to policy.ServerID) {
 	h := l.byID[to]
 	if h == nil {
 		return
 	}
 	p := &probe{host: h}
 	h.probes = append(h.probes, p)
-	peer := h.peer
+	node := h.node
 	go func() {
-		ok, load := l.up.probe(context.Background(), peer)
+		ok, load := node.Probe(context.Background())
 		l.events <- probed{p, ok, load}
 	}()
 }
 
 // WatchList subscribes to the list, where that is the module's to ask.
-func (l *loop) WatchList() {
+func (l *Core) WatchList() {
 	select {
 	case l.asks <- struct{}{}:
 	default: // one is waiting already
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,190 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"mothridge/internal/peers/peertest"
+	"mothridge/policy"
+)
+
+// The module matches a server's probe results to its calls by their order.
+func TestProbeResultsKeepTheirOrder(t *testing.T) {
+	l := newTestLoop(t, up("s-1", "127.0.0.1:7"))
+	h := l.hosts["s-1"]
+	first, second := &probe{host: h}, &probe{host: h}
+	h.probes = []*probe{first, second}
+	l.handle(probed{second, true, policy.Load{InFlight: 1}})
+	if len(h.probes) != 2 {
+		t.Fatal("the second result went before the first")
+	}
+	l.handle(probed{first, false, policy.Load{InFlight: -1}})
+	if len(h.probes) != 0 {
+		t.Errorf("%d results are held back", len(h.probes))
+	}
+}
+
+// A timer that fires early must not be lost: the module would pass it over and
+// never ask again.
+func TestEarlyTimerIsArmedAgain(t *testing.T) {
+	l := newTestLoop(t)
+	due := l.dueAt // as the module asked at its start
+	l.now = due - time.Millisecond
+	l.wake()
+	if due == 0 || l.dueAt != due {
+		t.Fatal("an early timer disarmed the alarm")
+	}
+	for l.now < due { // it is armed for what was left at the made-up time, and so early again
+		peertest.Await(t, "the timer", l.timer.C)
+		l.now = l.clock()
+		l.wake()
+	}
+	if l.dueAt <= due {
+		t.Error("the module was not woken: it would have asked for a later time")
+	}
+}
+
+func TestExactlyOneAnswer(t *testing.T) {
+	l := newTestLoop(t)
+	answers := make(chan Answer, 1)
+	r := &Request{ID: "x", id: 7, Reply: func(a Answer) { answers <- a }}
+	l.requests[r.id] = r
+	l.names.claim(r.ID)
+	l.Fail(r.id)
+	l.Fail(r.id)
+	l.Refuse(r.id, 0)
+	l.handle(left{r})
+	if a := peertest.Await(t, "the answer", answers); a.Verdict != Failed || len(answers) > 0 {
+		t.Errorf("answered %d, and %d times more", a.Verdict, len(answers))
+	}
+	if len(l.requests) > 0 || l.names.has(r.ID) {
+		t.Errorf("%d requests are still held, name held: %v", len(l.requests), l.names.has(r.ID))
+	}
+}
+
+// An answer that comes when its client has left finds nobody, but must not
+// leave the request behind.
+func TestLateAnswerLeavesNothingBehind(t *testing.T) {
+	answers := make(chan Answer, 1)
+	l := newTestLoop(t, up("s-1", "127.0.0.1:7"))
+	held := &Request{ID: "x", Class: 2, Until: time.Now().Add(peertest.Patience), Reply: func(a Answer) { answers <- a }}
+	l.now = l.clock()
+	l.handle(arrived{held})
+	l.handle(left{held})
+	l.handle(ended{held.attempts[0], policy.Served, &Answer{}})
+	if len(l.requests) > 0 || len(answers) > 0 {
+		t.Errorf("%d requests are still held, %d answers given", len(l.requests), len(answers))
+	}
+}
+
+// At the deadline the module may give up before the attempt's own time-out
+// comes in: the client is told of a time-out either way.
+func TestTimeOutIsToldWhoeverNoticesFirst(t *testing.T) {
+	l := newTestLoop(t)
+	for want, r := range map[Verdict]*Request{TimedOut: {ID: "out", id: 7, out: 1}, Failed: {ID: "broken", id: 8}} {
+		answers := make(chan Answer, 1)
+		r.Reply = func(a Answer) { answers <- a }
+		l.requests[r.id] = r
+		l.Fail(r.id)
+		if a := peertest.Await(t, "the answer", answers); a.Verdict != want {
+			t.Errorf("%s: answered %d, want %d", r.ID, a.Verdict, want)
+		}
+	}
+}
+
+// silent is a node that never answers.
+type silent struct{}
+
+func (silent) Try(ctx context.Context, _ *Message) (policy.Ending, *Answer) {
+	<-ctx.Done()
+	return policy.TimedOut, nil
+}
+
+func (silent) Probe(context.Context) (bool, policy.Load) { return false, policy.Load{InFlight: -1} }
+
+func (silent) Retire() {}
+
+func up(name, addr string) Instance {
+	return Instance{Name: name, Addr: addr, Site: "a", Health: Up, Weight: 1}
+}
+
+func newTestLoop(t *testing.T, known ...Instance) *Core {
+	t.Helper()
+	class := func(e policy.Effect) policy.Class {
+		return policy.Class{Effect: e, Aim: 4 * time.Second, Deadline: 5 * time.Second, Worth: 1, Window: 5 * time.Second}
+	}
+	l, err := New(Config{
+		Policy: policy.Config{
+			Balancers: 1, MaxAttempts: 3, MayCancel: true,
+			Classes: []policy.Class{class(policy.Safe), class(policy.Keyed), class(policy.Unsafe)},
+		},
+		Zones: []string{"a"}, Known: &News{Whole: true, Instances: known},
+		Reach: func(Instance) Node { return silent{} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func TestWrongEntriesArePassedOver(t *testing.T) {
+	l := newTestLoop(t)
+	l.list(policy.ListFull, News{Whole: true, Instances: []Instance{
+		{}, {Addr: "127.0.0.1:7", Health: Up}, up("s-2", "nowhere"), up("s-1", "127.0.0.1:7"), up("s-3", "127.0.0.1:8"),
+	}})
+	if len(l.hosts) != 2 || l.hosts["s-1"] == nil || l.hosts["s-3"] == nil {
+		t.Errorf("hosts %v, want s-1 and s-3", l.hosts)
+	}
+}
+
+func TestEntriesBecomeServers(t *testing.T) {
+	l := newTestLoop(t)
+	enter := func(e Instance) policy.Server {
+		s, ok := l.enter(e)
+		if !ok {
+			t.Fatalf("%+v was passed over", e)
+		}
+		return s
+	}
+	cell := 3
+	e := Instance{Name: "s-1", Addr: "127.0.0.1:7", Site: "a", Cell: &cell, Health: Up, Weight: 1.5}
+	s := enter(e)
+	if s.State != policy.Ready || s.Weight != 1.5 || s.Cell != 3 || s.Zone != 0 || s.Started != 0 {
+		t.Errorf("server %+v", s)
+	}
+	e.Addr, e.Health = "127.0.0.1:8", Draining
+	if d := enter(e); d.ID != s.ID || d.State != policy.Draining || l.hosts["s-1"].entry.Addr != e.Addr {
+		t.Errorf("at another address it is %+v, was %+v", d, s)
+	}
+	e.Health = Health(99)
+	if d := enter(e); d.State != policy.Draining {
+		t.Errorf("unknown health gives %v", d.State)
+	}
+	e.Health, e.Addr = Removed, ""
+	if d := enter(e); d.ID != s.ID || d.State != policy.Gone {
+		t.Errorf("removed without an address gives %+v", d)
+	}
+	other := enter(Instance{Name: "s-2", Addr: "127.0.0.1:9", Site: "elsewhere", Health: Up})
+	third := enter(Instance{Name: "s-3", Addr: "127.0.0.1:9", Site: "elsewhere", Health: Up})
+	if other.ID == s.ID || other.Zone == 0 || other.Zone != third.Zone || other.Cell == third.Cell {
+		t.Errorf("servers %+v and %+v", other, third)
+	}
+}
+
+// An upstream that started shortly before this process is cold: its start must
+// be a positive time on the module's clock, whatever the module's clock is at.
+func TestEarlierStartIsNotLongAgo(t *testing.T) {
+	l := newTestLoop(t)
+	born := time.Duration(time.Now().Add(-2 * time.Second).UnixNano())
+	s, ok := l.enter(Instance{Name: "s-1", Addr: "127.0.0.1:7", Health: Up, Started: born})
+	if age := l.clock() - s.Started; !ok || s.Started <= 0 || age < time.Second || age > peertest.Patience {
+		t.Errorf("started at %v, %v ago by the module's clock", s.Started, age)
+	}
+	ahead := Instance{Name: "s-2", Addr: "127.0.0.1:7", Health: Up, Started: time.Duration(time.Now().Add(time.Hour).UnixNano())}
+	first, _ := l.enter(ahead)
+	l.now = l.clock() + time.Second
+	if again, _ := l.enter(ahead); first.Started > l.now || again.Started != first.Started {
+		t.Errorf("a start ahead of the clock is %v and then %v", first.Started, again.Started)
+	}
+}
--- a/internal/sidecar/client.go
+++ b/internal/front/httpfront/front.go
@@ -1,14 +1,21 @@
-package sidecar
+// Package httpfront takes the application's requests by HTTP/1.1.
+package httpfront
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"mothridge/internal/core"
+	"mothridge/internal/http1"
 	"mothridge/policy"
 )
 
@@ -28,33 +35,76 @@
 	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
 
-// clients is the side towards the application.
-type clients struct {
-	loop     *loop
+// Core takes the requests.
+type Core interface {
+	Submit(*core.Request)
+	Abandon(*core.Request)
+	Holds(id string) bool
+	Ready() bool
+}
+
+// Config is what a Front keeps to.
+type Config struct {
+	Classes     []string // names by number
+	Effects     []policy.Effect
+	Tenants     []string // empty: there is one, and requests need not name it
+	Connections int      // the most that are open at once
+}
+
+// Front is the HTTP/1.1 side towards the application.
+type Front struct {
+	core     Core
+	effects  []policy.Effect
 	classes  map[string]int
 	tenants  map[string]int
-	draining func() bool
+	listener *limitedListener
+	server   *http.Server
 }
 
-func newClients(c *Config, l *loop, draining func() bool) *clients {
-	s := &clients{loop: l, classes: make(map[string]int), tenants: make(map[string]int), draining: draining}
-	for i, name := range c.Classes {
-		s.classes[name] = i
+// New makes a Front on a listener; Serve starts it.
+func New(c Config, k Core, ln net.Listener) *Front {
+	s := &Front{
+		core: k, effects: c.Effects, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants),
+		listener: limitListener(ln, c.Connections),
 	}
-	for i, name := range c.Tenants {
-		s.tenants[name] = i
+	// There is no ReadTimeout: that would also end the watch for clients that
+	// leave, as if they had left.
+	s.server = &http.Server{
+		Handler:           s,
+		ConnState:         s.listener.track,
+		ConnContext:       withConn,
+		ReadHeaderTimeout: readHeaderIn,
+		IdleTimeout:       idleClient,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	return s
 }
 
-func (s *clients) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+// Serve serves until Shutdown or an error.
+func (s *Front) Serve() error { return s.server.Serve(s.listener) }
+
+// Drain closes the idle connections, and from now on tells clients with each
+// answer to close; new connections are still taken.
+func (s *Front) Drain() { s.listener.drain() }
+
+// Shutdown closes the listener and waits until all that was taken is answered,
+// or ctx ends.
+func (s *Front) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	return nil
+}
+
+func (s *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if status := framing(hr); status != 0 {
 		reject(w, hr, status)
 		return
 	}
 	if hr.URL.Path == "/health/ready" {
 		status := http.StatusOK
-		if !s.loop.ready.Load() || s.draining() {
+		if !s.core.Ready() || s.listener.isDraining() {
 			status = http.StatusServiceUnavailable
 		}
 		w.WriteHeader(status)
@@ -62,6 +112,7 @@
 	}
 	c := hr.Context().Value(connKey{}).(*clientConn)
 	c.requests++
+	answers := make(chan core.Answer, 1) // never blocks the core
 	r, status := s.read(w, hr, c)
 	if r == nil {
 		reject(w, hr, status)
@@ -70,16 +121,17 @@
 	if !c.take() {
 		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
 	}
-	s.loop.events <- arrived{r}
-	var a answer
+	r.Reply = func(a core.Answer) { answers <- a }
+	s.core.Submit(r)
+	var a core.Answer
 	select {
-	case a = <-r.answer:
+	case a = <-answers:
 	case <-hr.Context().Done():
-		s.loop.events <- left{r}
+		s.core.Abandon(r)
 		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
 	}
 	// A client that does not read by then has given up; its answer is not held for it.
-	http.NewResponseController(w).SetWriteDeadline(r.until.Add(writeAfter))
+	http.NewResponseController(w).SetWriteDeadline(r.Until.Add(writeAfter))
 	s.write(w, a)
 }
 
@@ -98,7 +150,7 @@
 	rc := http.NewResponseController(w)
 	rc.Flush()
 	rc.SetReadDeadline(time.Now().Add(lingerIn))
-	io.CopyN(io.Discard, hr.Body, maxBody)
+	io.CopyN(io.Discard, hr.Body, http1.MaxBody)
 }
 
 // framing names the status for a request whose length is not certain, or 0.
@@ -111,7 +163,7 @@
 		return http.StatusHTTPVersionNotSupported
 	case len(hr.TransferEncoding) > 0:
 		return http.StatusLengthRequired
-	case hr.ContentLength > maxBody:
+	case hr.ContentLength > http1.MaxBody:
 		return http.StatusRequestEntityTooLarge
 	}
 	return 0
@@ -119,11 +171,11 @@
 
 // read takes a request in, or names the status that it is rejected with. It
 // reads no body before all else is known to be right.
-func (s *clients) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*request, int) {
+func (s *Front) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*core.Request, int) {
 	const bad = http.StatusBadRequest
 	arrival := time.Now()
 	h := hr.Header
-	hopByHop(h) // first of all: a field that is needed below may not go on if it is named as a hop's own
+	http1.DropHopByHop(h) // first of all: a field that is needed below may not go on if it is named as a hop's own
 	name, ok1 := single(h, "Request-Id")
 	className, ok2 := single(h, "Request-Class")
 	timeoutText, ok3 := single(h, "Request-Timeout")
@@ -149,7 +201,7 @@
 	// The method and the key follow from the class. A keyed request without its
 	// key could not be recognised as a repeat.
 	method := http.MethodPost
-	effect := s.loop.config.Policy.Classes[class].Effect
+	effect := s.effects[class]
 	if effect == policy.Safe {
 		method = http.MethodGet
 	}
@@ -162,21 +214,17 @@
 	if effect == policy.Safe && hr.ContentLength > 0 {
 		return nil, bad
 	}
-	if s.loop.names.has(name) {
+	if s.core.Holds(name) {
 		return nil, http.StatusConflict
 	}
 	body, err := readRequestBody(w, hr, c.bodyBy(arrival))
 	if err != nil {
 		return nil, bad
 	}
-	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // none of our own either
-	}
-	return &request{
-		name: name, class: class, tenant: tenant, repeat: h.Get("Client-Retry") == "1", work: workHint(h),
-		until:  arrival.Add(max(0, timeout-answerMargin)),
-		method: method, url: hr.URL, host: hr.Host, header: h, body: body,
-		answer: make(chan answer, 1),
+	return &core.Request{
+		ID: name, Class: class, Tenant: tenant, Repeat: h.Get("Client-Retry") == "1", Work: workHint(h),
+		Until:   arrival.Add(max(0, timeout-answerMargin)),
+		Message: core.Message{Method: method, Target: hr.URL.RequestURI(), Host: hr.Host, Fields: h, Body: body},
 	}, 0
 }
 
@@ -219,7 +267,7 @@
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(by)
-	body, err := readExactly(hr.Body, hr.ContentLength)
+	body, err := http1.ReadExactly(hr.Body, hr.ContentLength)
 	if err != nil {
 		return nil, err
 	}
@@ -227,54 +275,34 @@
 	return body, nil
 }
 
-// hopByHop takes the fields out of a header that concern one connection only.
-func hopByHop(h http.Header) {
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Expect",
-	} {
-		delete(h, name)
-	}
+// statuses are those of the verdicts. 429 and 503 stand for a refusal alone.
+var statuses = [...]int{
+	core.Served:    http.StatusOK,
+	core.Refused:   http.StatusServiceUnavailable,
+	core.Failed:    http.StatusBadGateway,
+	core.TimedOut:  http.StatusGatewayTimeout,
+	core.Duplicate: http.StatusConflict,
 }
 
-func (s *clients) write(w http.ResponseWriter, a answer) {
+func (s *Front) write(w http.ResponseWriter, a core.Answer) {
 	h := w.Header()
-	if a.header != nil {
-		hopByHop(a.header)
-		delete(a.header, "Server-Load")
-		for name, v := range a.header {
+	if a.Fields != nil {
+		http1.DropHopByHop(a.Fields)
+		delete(a.Fields, "Server-Load")
+		for name, v := range a.Fields {
 			h[name] = v
 		}
 		if _, ok := h["Content-Type"]; !ok {
 			h["Content-Type"] = nil // not guessed from the body
 		}
 	}
-	if a.pause > 0 {
-		h.Set("Retry-After", seconds(a.pause))
+	if a.Pause > 0 {
+		h.Set("Retry-After", http1.Seconds(a.Pause))
 	}
-	if s.draining() {
+	if s.listener.isDraining() {
 		h.Set("Connection", "close")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	w.Write(a.body)
-}
-
-// server makes the HTTP server of the client side. It has no ReadTimeout: that
-// would also end the watch for clients that leave, as if they had left.
-func (s *clients) server(l *limitedListener) *http.Server {
-	return &http.Server{
-		Handler:           s,
-		ConnState:         l.track,
-		ConnContext:       withConn,
-		ReadHeaderTimeout: readHeaderIn,
-		IdleTimeout:       idleClient,
-		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
+	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(statuses[a.Verdict])
+	w.Write(a.Body)
 }
--- /dev/null
+++ b/internal/front/httpfront/front_test.go
@@ -0,0 +1,81 @@
+package httpfront
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"mothridge/internal/core"
+	"mothridge/internal/peers/peertest"
+	"mothridge/policy"
+)
+
+// serving is a core that serves all it takes with one body.
+type serving struct {
+	taken int
+	body  []byte
+}
+
+func (k *serving) Submit(r *core.Request) {
+	k.taken++
+	r.Reply(core.Answer{Verdict: core.Served, Body: k.body})
+}
+
+func (k *serving) Abandon(*core.Request) {}
+
+func (k *serving) Holds(string) bool { return false }
+
+func (k *serving) Ready() bool { return true }
+
+var testConfig = Config{
+	Classes: []string{"read", "keyed", "once"}, Effects: []policy.Effect{policy.Safe, policy.Keyed, policy.Unsafe},
+	Tenants: []string{"acme"}, Connections: 4,
+}
+
+// net/http counts a connection as idle until it has read a request's header. A
+// connection closed as idle in that moment must not have its request taken: the
+// client sends it once more.
+func TestRequestOnAConnectionClosedAsIdleIsLeftAlone(t *testing.T) {
+	k := &serving{}
+	s := New(testConfig, k, peertest.Listen(t))
+	serve := func(c *clientConn) (aborted bool) {
+		defer func() { aborted = recover() == http.ErrAbortHandler }()
+		req := peertest.Call{Class: "once"}.Request(t, "127.0.0.1:1")
+		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
+		return false
+	}
+	closed, open := &clientConn{TCPConn: &net.TCPConn{}}, &clientConn{TCPConn: &net.TCPConn{}}
+	closed.closeIdle()
+	if !serve(closed) || k.taken > 0 {
+		t.Error("a request of a connection that was closed as idle was taken")
+	}
+	if serve(open) || k.taken != 1 {
+		t.Error("a request of an open connection was not taken")
+	}
+	open.closeIdle()
+	if open.state.Load() != connBusy {
+		t.Error("a connection was closed under a request that had been taken")
+	}
+}
+
+// A client that takes no more of its answer than fits into buffers must not hold it for ever.
+func TestAnswerIsNotHeldForAClientThatDoesNotRead(t *testing.T) {
+	ln, served := peertest.Listen(t), make(chan struct{})
+	s := New(testConfig, &serving{body: make([]byte, 1<<20)}, ln)
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		hr.Context().Value(connKey{}).(*clientConn).SetWriteBuffer(4 << 10)
+		s.ServeHTTP(w, hr)
+		close(served)
+	})
+	go s.Serve()
+	defer s.server.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	peertest.Call{Class: "once", Timeout: "0.5"}.Request(t, "x").Write(c)
+	peertest.Await(t, "the end of the answer", served)
+}
--- a/internal/sidecar/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpfront
 
 import (
 	"context"
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mothridge/internal/sockets"
 )
 
 // clientConn is a client's connection. Closing it between requests and taking a
@@ -65,7 +67,7 @@
 
 // silent says whether the client has sent nothing so far, though it had the time to.
 func (c *clientConn) silent(now time.Time) bool {
-	return now.Sub(c.since) >= speakIn && !c.heard.Load() && quiet(c.TCPConn)
+	return now.Sub(c.since) >= speakIn && !c.heard.Load() && sockets.Quiet(c.TCPConn)
 }
 
 type connKey struct{}
--- a/internal/sidecar/discovery.go
+++ b/internal/registry/platform/platform.go
@@ -1,4 +1,6 @@
-package sidecar
+// Package platform follows the platform's discovery, an HTTP service that gives
+// the list of servers and a watch of its changes.
+package platform
 
 import (
 	"bufio"
@@ -13,10 +15,13 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/settings"
 )
 
-// listing is discovery's news of the upstreams: the whole list or what changed.
-type listing struct {
+// Listing is discovery's news of the upstreams: the whole list or what changed.
+type Listing struct {
 	Seq   uint64  `json:"seq"`
 	Whole bool    `json:"whole"`
 	Hosts []entry `json:"hosts"`
@@ -27,6 +32,7 @@
 	Host   string  `json:"host"`
 	Dial   string  `json:"dial"`
 	Site   string  `json:"site"`
+	Class  string  `json:"class"`
 	Block  *int    `json:"block"`
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
@@ -46,6 +52,25 @@
 	return nil
 }
 
+// News is the listing in the core's terms.
+func (l Listing) News() core.News {
+	n := core.News{Version: l.Seq, Whole: l.Whole, Instances: make([]core.Instance, 0, len(l.Hosts))}
+	for _, e := range l.Hosts {
+		i := core.Instance{
+			Name: e.Host, Addr: e.Dial, Site: e.Site, Kind: e.Class, Cell: e.Block, Weight: e.Share,
+			Started: settings.Millis(e.BornMS),
+		}
+		switch e.Health {
+		case "up":
+			i.Health = core.Up
+		case "removed":
+			i.Health = core.Removed
+		}
+		n.Instances = append(n.Instances, i)
+	}
+	return n
+}
+
 const (
 	listPath = "/registry/instances"
 	// silence ends a watch: an empty line comes every 2 s while nothing changes.
@@ -56,16 +81,19 @@
 	maxListing  = 4 << 20
 )
 
+// Sockets is how many connections discovery holds at most.
+const Sockets = 2
+
 // errGap says that a change was missed or could not be read: only the whole list helps.
 var errGap = errors.New("gap in the list")
 
-// discovery follows the list of upstreams.
-type discovery struct {
+// Discovery follows the list of upstreams.
+type Discovery struct {
 	client  *http.Client
 	base    string
 	held    bool   // a list is held: changes may build on it
 	seq     uint64 // its version
-	deliver func(listing)
+	deliver func(core.News)
 
 	moves chan string // the address to go on with; holds the latest alone
 
@@ -73,15 +101,17 @@
 	failed func()          // tells it that its call failed or the watch has ended
 }
 
-func newDiscovery(addr string, known *listing, deliver func(listing)) *discovery {
-	d := &discovery{
+// New follows the discovery at an address, on from the list as last held, if
+// any; deliver takes its news, in order. Follow starts it.
+func New(addr string, known *Listing, deliver func(core.News)) *Discovery {
+	d := &Discovery{
 		base:    listURL(addr),
 		deliver: deliver,
 		moves:   make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
 			ResponseHeaderTimeout: silence,
-			MaxConnsPerHost:       socketsDiscovery,
+			MaxConnsPerHost:       Sockets,
 			DisableCompression:    true,
 		}},
 	}
@@ -96,8 +126,12 @@
 // errMoved ends a watch at an address that is not discovery's any more.
 var errMoved = errors.New("discovery has moved")
 
-// move makes follow go on at another address, at once. It must not be called concurrently.
-func (d *discovery) move(addr string) {
+// Ask makes Follow wait for a call of asks before each watch, for installations
+// where asking has a cost; failed is told when a call failed or the watch has ended.
+func (d *Discovery) Ask(asks <-chan struct{}, failed func()) { d.asks, d.failed = asks, failed }
+
+// Move makes Follow go on at another address, at once. It must not be called concurrently.
+func (d *Discovery) Move(addr string) {
 	select {
 	case <-d.moves: // not taken yet, and out of date
 	default:
@@ -107,16 +141,16 @@
 
 // moved turns to another address. Its versions may have nothing to do with those
 // that were counted so far: only its whole list is to be built on.
-func (d *discovery) moved(addr string) {
+func (d *Discovery) moved(addr string) {
 	slog.Info("discovery: moved", "to", addr)
 	d.client.CloseIdleConnections()
 	d.base, d.held = listURL(addr), false
 }
 
-// follow watches the list until ctx ends. When a watch ends or falls silent it
+// Follow watches the list until ctx ends. When a watch ends or falls silent it
 // opens the next one soon, or when the module asks, where asking is the module's.
 // The list that was held stays in force until there is another.
-func (d *discovery) follow(ctx context.Context) {
+func (d *Discovery) Follow(ctx context.Context) {
 	pause, down, atOnce := firstReopen, false, false
 	for ctx.Err() == nil {
 		if d.asks != nil && !atOnce {
@@ -165,7 +199,7 @@
 
 // watchHere watches until the watch ends or discovery moves to the address next.
 // When it returns, nothing more comes from the old address.
-func (d *discovery) watchHere(ctx context.Context) (heard bool, next string, err error) {
+func (d *Discovery) watchHere(ctx context.Context) (heard bool, next string, err error) {
 	ctx, leave := context.WithCancelCause(ctx)
 	defer leave(nil)
 	over, turned := make(chan struct{}), make(chan string, 1)
@@ -185,7 +219,7 @@
 
 // watch opens one watch and passes on what it brings until it ends; heard tells
 // whether any line came. Where no list is held, it asks for the whole list first.
-func (d *discovery) watch(ctx context.Context) (heard bool, err error) {
+func (d *Discovery) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
@@ -218,7 +252,7 @@
 				return heard, err
 			}
 		case !heard:
-			d.deliver(listing{Seq: d.seq}) // the watch is up and nothing has changed: the module's call went well
+			d.deliver(core.News{Version: d.seq}) // the watch is up and nothing has changed: the module's call went well
 		}
 		heard = true
 	}
@@ -229,7 +263,7 @@
 }
 
 // fetch asks for the whole list.
-func (d *discovery) fetch(ctx context.Context) error {
+func (d *Discovery) fetch(ctx context.Context) error {
 	body, err := d.open(ctx, d.base)
 	if err != nil {
 		return err
@@ -242,7 +276,7 @@
 	return d.take(text)
 }
 
-func (d *discovery) open(ctx context.Context, url string) (io.ReadCloser, error) {
+func (d *Discovery) open(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -260,8 +294,8 @@
 
 // take passes on one piece of news. Changes apply in order and only on top of
 // the list they follow; what was had already is passed over.
-func (d *discovery) take(text []byte) error {
-	var l listing
+func (d *Discovery) take(text []byte) error {
+	var l Listing
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("%w: %w", errGap, err)
 	}
@@ -273,6 +307,6 @@
 		l.Hosts = nil
 	}
 	d.held, d.seq = true, l.Seq
-	d.deliver(l)
+	d.deliver(l.News())
 	return nil
 }
--- /dev/null
+++ b/internal/registry/platform/platform_test.go
@@ -0,0 +1,155 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/peers/peertest"
+)
+
+// startDiscovery follows a fake registry and hands out what is delivered.
+func startDiscovery(t *testing.T, g *peertest.Registry, known *Listing) <-chan core.News {
+	t.Helper()
+	news := make(chan core.News, 10)
+	d := New(g.Addr, known, func(l core.News) { news <- l })
+	go d.Follow(t.Context())
+	return news
+}
+
+func TestWatchBringsChangesInOrder(t *testing.T) {
+	g := peertest.NewRegistry(t)
+	news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+	w := peertest.Await(t, "the watch", g.Watches)
+	if w.From != "41" {
+		t.Errorf("from %s, want 41", w.From)
+	}
+	up, drain := peertest.HostText("s-1", "127.0.0.1:7", "up", 0), peertest.HostText("s-1", "127.0.0.1:7", "draining", 0)
+	w.Lines <- peertest.ListText(43, false, up)
+	w.Lines <- ""
+	w.Lines <- peertest.ListText(43, false, up) // had already
+	w.Lines <- peertest.ListText(47, false, drain)
+	for i, want := range []struct {
+		seq    uint64
+		hosts  int
+		health core.Health
+	}{{43, 1, core.Up}, {43, 0, 0}, {47, 1, core.Draining}} {
+		l := peertest.Await(t, "a change", news)
+		if l.Version != want.seq || len(l.Instances) != want.hosts || (want.hosts > 0 && l.Instances[0].Health != want.health) {
+			t.Errorf("change %d is %+v, want %+v", i, l, want)
+		}
+	}
+	close(w.Lines) // the watch ends
+	if w := peertest.Await(t, "the next watch", g.Watches); w.From != "47" {
+		t.Errorf("the next watch is from %s, want 47", w.From)
+	}
+}
+
+func TestGapBringsTheWholeList(t *testing.T) {
+	for name, line := range map[string]string{
+		"unreadable": `{"seq":42,"whole":false,"hosts":[{"ho`, "backwards": peertest.ListText(30, false), "no list": `{"seq":42,"hosts":7}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := peertest.NewRegistry(t)
+			news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+			w := peertest.Await(t, "the watch", g.Watches)
+			w.Lines <- line
+			peertest.Await(t, "the call for the whole list", g.Asked)
+			g.Whole <- peertest.ListText(45, true, peertest.HostText("s-1", "127.0.0.1:7", "up", 0))
+			if l := peertest.Await(t, "the list", news); l.Version != 45 || !l.Whole || len(l.Instances) != 1 {
+				t.Errorf("delivered %+v", l)
+			}
+			if w := peertest.Await(t, "the next watch", g.Watches); w.From != "45" {
+				t.Errorf("the next watch is from %s, want 45", w.From)
+			}
+		})
+	}
+}
+
+func TestSilentWatchIsReopened(t *testing.T) {
+	g := peertest.NewRegistry(t)
+	startDiscovery(t, g, &Listing{Seq: 1, Whole: true})
+	w := peertest.Await(t, "the watch", g.Watches)
+	start := time.Now()
+	w2 := peertest.Await(t, "the next watch", g.Watches)
+	if took := time.Since(start); took < silence/2 || w2.From != "1" {
+		t.Errorf("reopened after %v from %s", took, w2.From)
+	}
+	peertest.Await(t, "the end of the silent one", w.Ended)
+}
+
+// A new address counts at once, its whole list first: its versions may have
+// nothing to do with the old one's, whose news must not come after it.
+func TestMovedDiscovery(t *testing.T) {
+	for name, held := range map[string]*Listing{"watching": {Seq: 41, Whole: true}, "waiting for a list": nil} {
+		t.Run(name, func(t *testing.T) {
+			old, fresh := peertest.NewRegistry(t), peertest.NewRegistry(t)
+			news := make(chan core.News, 10)
+			d := New(old.Addr, held, func(l core.News) { news <- l })
+			go d.Follow(t.Context())
+			if held == nil {
+				peertest.Await(t, "the call to the old one", old.Asked)
+			} else {
+				w := peertest.Await(t, "the old watch", old.Watches)
+				defer peertest.Await(t, "the old watch's end", w.Ended)
+			}
+			d.Move("127.0.0.1:1") // and at once on: the last one counts
+			d.Move(fresh.Addr)
+			peertest.Await(t, "the call for the new list", fresh.Asked)
+			fresh.Whole <- peertest.ListText(7, true, peertest.HostText("s-1", "127.0.0.1:7", "up", 0))
+			if l := peertest.Await(t, "the list", news); l.Version != 7 || !l.Whole || len(l.Instances) != 1 {
+				t.Errorf("delivered %+v", l)
+			}
+			if w := peertest.Await(t, "the new watch", fresh.Watches); w.From != "7" {
+				t.Errorf("the new watch is from %s, want 7", w.From)
+			}
+			if len(news) > 0 {
+				t.Errorf("more came: %+v", <-news)
+			}
+		})
+	}
+}
+
+// Where the module asks for the list, a move needs no asking, and what goes
+// wrong at the new address is told as ever.
+func TestMovedDiscoveryThatIsAsked(t *testing.T) {
+	old, fresh := peertest.NewRegistry(t), peertest.NewRegistry(t)
+	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan core.News, 10)
+	d := New(old.Addr, &Listing{Seq: 3, Whole: true}, func(l core.News) { news <- l })
+	d.asks, d.failed = asks, func() { failed <- struct{}{} }
+	go d.Follow(t.Context())
+	asks <- struct{}{}
+	peertest.Await(t, "the old watch", old.Watches)
+	d.Move(fresh.Addr)
+	peertest.Await(t, "the call for the new list", fresh.Asked)
+	fresh.Whole <- peertest.ListText(1, true)
+	if l := peertest.Await(t, "the list", news); l.Version != 1 || !l.Whole {
+		t.Errorf("delivered %+v", l)
+	}
+	close(peertest.Await(t, "the new watch", fresh.Watches).Lines)
+	peertest.Await(t, "word of its end", failed)
+}
+
+// Where the list is asked for, the module asks, and hears of success and failure.
+func TestAskedListIsTheModulesToAsk(t *testing.T) {
+	g := peertest.NewRegistry(t)
+	asks, failed, news := make(chan struct{}, 1), make(chan struct{}, 1), make(chan core.News, 10)
+	d := New(g.Addr, &Listing{Seq: 3, Whole: true}, func(l core.News) { news <- l })
+	d.asks, d.failed = asks, func() { failed <- struct{}{} }
+	go d.Follow(t.Context())
+	asks <- struct{}{}
+	w := peertest.Await(t, "the watch", g.Watches)
+	w.Lines <- "" // nothing has changed: the call went well all the same
+	if l := peertest.Await(t, "word of it", news); l.Version != 3 || l.Whole || len(l.Instances) != 0 {
+		t.Errorf("delivered %+v", l)
+	}
+	close(w.Lines)
+	peertest.Await(t, "word of the failure", failed)
+	select {
+	case <-g.Watches:
+		t.Error("asked again unbidden")
+	default:
+	}
+	asks <- struct{}{}
+	peertest.Await(t, "the second watch", g.Watches)
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"mothridge/internal/core"
+	"mothridge/internal/registry/platform"
 	"mothridge/internal/settings"
 	"mothridge/policy"
 )
@@ -20,7 +22,7 @@
 	Listen    string // the one address to listen on
 	Discovery string
 	Seed      uint64
-	Known     *listing // the list of upstreams as last held; nil where there is none
+	Known     *platform.Listing // the list of upstreams as last held; nil where there is none
 	Limits    Limits
 	path      string // the file it came from
 
@@ -159,14 +161,32 @@
 
 // parseKnown reads the list as last held. One that cannot be read is done
 // without: discovery brings another.
-func parseKnown(text json.RawMessage) *listing {
+func parseKnown(text json.RawMessage) *platform.Listing {
 	if len(text) == 0 || string(text) == "null" {
 		return nil
 	}
-	known := new(listing)
+	known := new(platform.Listing)
 	if err := json.Unmarshal(text, known); err != nil {
 		slog.Warn("configuration: the known list is passed over", "err", err)
 		return nil
 	}
 	return known
 }
+
+// known is the list as last held, in the core's terms.
+func (c *Config) known() *core.News {
+	if c.Known == nil {
+		return nil
+	}
+	n := c.Known.News()
+	return &n
+}
+
+// effects are those of the classes, by number.
+func (c *Config) effects() []policy.Effect {
+	e := make([]policy.Effect, len(c.Policy.Classes))
+	for i, k := range c.Policy.Classes {
+		e[i] = k.Effect
+	}
+	return e
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,20 +5,22 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/front/httpfront"
+	"mothridge/internal/registry/platform"
+	"mothridge/internal/transport/httpnode"
 )
 
 const (
-	socketsSpare     = 32 // standard streams, the listener, the poller and what the runtime opens
-	socketsDiscovery = 2
-	sweepEvery       = time.Second
+	socketsSpare = 32 // standard streams, the listener, the poller and what the runtime opens
+	sweepEvery   = time.Second
 	// clientPart is how many tenths of the sockets are for clients: those that
 	// say nothing take some, until they are closed.
 	clientPart = 6
@@ -31,7 +33,7 @@
 
 // connections divides the sockets between the two sides.
 func (l Limits) connections() (clients, upstreams int) {
-	most := l.Sockets - socketsSpare - socketsDiscovery
+	most := l.Sockets - socketsSpare - platform.Sockets
 	clients = most * clientPart / 10
 	return clients, most - clients
 }
@@ -49,11 +51,14 @@
 func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener) error {
 	defer ln.Close()
 	forClients, forUpstreams := c.Limits.connections()
-	up := &upstreams{pool: newPool(c.DialTimeout, c.ConnIdle, forUpstreams), loadField: c.LoadField, statsPath: "/health/live"}
-	if c.Policy.Reports {
-		up.statsPath = "/stats"
-	}
-	l, err := newLoop(c, up)
+	nodes := httpnode.New(httpnode.Config{
+		DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: forUpstreams,
+		LoadField: c.LoadField, Reports: c.Policy.Reports,
+	})
+	k, err := core.New(core.Config{
+		Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, Known: c.known(),
+		Reach: func(i core.Instance) core.Node { return nodes.Node(i.Addr) },
+	})
 	if err != nil {
 		return err
 	}
@@ -63,31 +68,32 @@
 		end()
 		loops.Wait()
 	}()
-	d := newDiscovery(c.Discovery, c.Known, func(news listing) { l.events <- listed{news} })
+	d := platform.New(c.Discovery, c.Known, k.Update)
 	if c.Policy.AskList {
-		d.asks, d.failed = l.asks, func() { l.events <- listFailed{} }
+		d.Ask(k.Asks(), k.UpdateFailed)
 	}
-	go d.follow(run)
-	loops.Go(func() { l.run(run) })
-	go sweep(run, up.pool)
+	go d.Follow(run)
+	loops.Go(func() { k.Run(run) })
+	go sweep(run, nodes)
 
-	limited := limitListener(ln, forClients)
-	server := newClients(c, l, limited.isDraining).server(limited)
+	front := httpfront.New(httpfront.Config{
+		Classes: c.Classes, Effects: c.effects(), Tenants: c.Tenants, Connections: forClients,
+	}, k, ln)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(limited) }()
+	go func() { served <- front.Serve() }()
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
 	for {
 		select {
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
 		case <-stop.Done():
-			return shutDown(server, limited)
+			return shutDown(front)
 		case <-reload:
 			was := c.Discovery
 			if err := c.reload(); err != nil {
 				slog.Error("configuration: the old one stays in force", "err", err)
 			} else if c.Discovery != was {
-				d.move(c.Discovery)
+				d.Move(c.Discovery)
 			}
 		}
 	}
@@ -96,27 +102,27 @@
 // shutDown ends service for a planned restart. New connections go on coming for
 // a while, and closing the listener resets those that wait to be accepted: it
 // stays open until then, while every answer tells its client to close.
-func shutDown(server *http.Server, l *limitedListener) error {
+func shutDown(f *httpfront.Front) error {
 	slog.Info("draining")
-	l.drain() // none that is idle may get a request after the listener has gone
+	f.Drain() // none that is idle may get a request after the listener has gone
 	time.Sleep(lastConnections)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("shut down: %w", err)
+	if err := f.Shutdown(ctx); err != nil {
+		return err
 	}
 	slog.Info("ended")
 	return nil
 }
 
 // sweep closes idle upstream connections in time.
-func sweep(ctx context.Context, p *pool) {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
+func sweep(ctx context.Context, t *httpnode.Transport) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
 	for {
 		select {
-		case now := <-t.C:
-			p.sweep(now)
+		case now := <-tick.C:
+			t.Sweep(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -1,4 +1,4 @@
-package sidecar
+package httpnode
 
 import (
 	"bufio"
@@ -9,8 +9,9 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
+
+	"mothridge/internal/sockets"
 )
 
 // peer is one upstream to the pool. It stands for the host and not for its
@@ -219,25 +220,5 @@
 // usable says whether an idle connection may carry a request: young enough, and
 // neither closed by the peer nor with bytes that nobody asked for.
 func (c *conn) usable(now time.Time, idleFor time.Duration) bool {
-	return now.Sub(c.idle) < idleFor && c.r.Buffered() == 0 && quiet(c.Conn)
-}
-
-// quiet looks at a socket without blocking: nothing to read and not closed. It
-// goes past the lock of readers, one of which may be waiting on the socket.
-func quiet(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	still := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		still = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && still
+	return now.Sub(c.idle) < idleFor && c.r.Buffered() == 0 && sockets.Quiet(c.Conn)
 }
