Speak MessagePack-RPC to gateways and nodes, and read an operators' file

Need: gateways and records nodes will speak MessagePack-RPC beside HTTP/1.1.

Change: internal/msgrpc frames and maps the protocol in bounded memory, front/rpcfront takes requests by it, transport/rpcnode carries attempts, many on one connection, and internal/operator reads listeners, pools and limits from the operators' file.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -22,6 +22,10 @@
 	Body   []byte
 }
 
+// AnswerMargin is kept to the moment a client gives up, which counts from when
+// it sent the request and not from when this process came to read it.
+const AnswerMargin = 5 * time.Millisecond
+
 // Request is a client's request. Its front sets the exported fields before
 // Submit and leaves them alone from then on.
 type Request struct {
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -20,12 +20,9 @@
 )
 
 const (
-	// answerMargin is kept to the moment a client gives up, which counts from
-	// when it sent the request and not from when this process came to read it.
-	answerMargin = 5 * time.Millisecond
-	maxTimeout   = time.Hour
-	maxName      = 256 // bytes of a Request-Id
-	maxHeader    = 16 << 10
+	maxTimeout = time.Hour
+	maxName    = 256 // bytes of a Request-Id
+	maxHeader  = 16 << 10
 
 	// Connections are few, and a client is owed a word within 3 s of connecting.
 	readHeaderIn = 2 * time.Second
@@ -223,7 +220,7 @@
 	}
 	return &core.Request{
 		ID: name, Class: class, Tenant: tenant, Repeat: h.Get("Client-Retry") == "1", Work: workHint(h),
-		Until:   arrival.Add(max(0, timeout-answerMargin)),
+		Until:   arrival.Add(max(0, timeout-core.AnswerMargin)),
 		Message: core.Message{Method: method, Target: hr.URL.RequestURI(), Host: hr.Host, Fields: h, Body: body},
 	}, 0
 }
--- /dev/null
+++ b/internal/front/rpcfront/conn.go
@@ -0,0 +1,327 @@
+package rpcfront
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/msgrpc"
+)
+
+// conn is one client connection. The reader takes requests, the writer gives
+// answers; the core's goroutine only puts an answer in line.
+type conn struct {
+	front *Front
+	nc    net.Conn
+	wake  chan struct{} // tells the writer that there is something to write, or that it is over
+
+	mu     sync.Mutex
+	open   map[uint32]*core.Request // taken and not answered
+	line   []answer                 // to be written
+	held   int                      // bytes of their bodies
+	note   []byte                   // notifications to be written, whole ones
+	since  time.Time                // when it last had nothing open
+	finish bool                     // to be closed as soon as nothing is open or in line
+	closed bool                     // takes nothing more
+
+	strikes int // the reader's: messages that were none
+}
+
+// answer is one response in the making.
+type answer struct {
+	id    uint32
+	core  core.Answer
+	fault *msgrpc.Fault // goes before core
+	plain []byte        // goes before both: a response that is made already
+}
+
+func newConn(f *Front, nc net.Conn) *conn {
+	return &conn{front: f, nc: nc, wake: make(chan struct{}, 1), open: make(map[uint32]*core.Request), since: time.Now()}
+}
+
+func (c *conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// idleSince says since when nothing is open or waits to be written, if so.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, c.idleLocked()
+}
+
+func (c *conn) idleLocked() bool { return len(c.open) == 0 && len(c.line) == 0 && len(c.note) == 0 }
+
+// closeIdle closes the connection if nothing is open on it. From then on no
+// request of it is taken, so that a client may send it again elsewhere.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleLocked() {
+		c.closed = true
+		c.nc.Close()
+	}
+}
+
+// drain asks the client to send nothing new.
+func (c *conn) drain() {
+	c.mu.Lock()
+	c.note = msgrpc.AppendDrain(c.note)
+	c.mu.Unlock()
+	c.signal()
+}
+
+// finish closes the connection as soon as all that was taken is answered.
+func (c *conn) finishUp() {
+	c.mu.Lock()
+	c.finish = true
+	c.mu.Unlock()
+	c.signal()
+}
+
+// read is the reader.
+func (c *conn) read() {
+	defer c.end()
+	in := msgrpc.NewFramer(c.nc, msgrpc.MaxRequest, wholeIn)
+	for {
+		frame, err := in.Next()
+		if err != nil {
+			switch {
+			case errors.Is(err, msgrpc.ErrTooLarge), errors.Is(err, msgrpc.ErrTooDeep), errors.Is(err, msgrpc.ErrExtension),
+				errors.Is(err, msgrpc.ErrReserved), errors.Is(err, msgrpc.ErrNotArray), errors.Is(err, os.ErrDeadlineExceeded):
+				c.front.malformed.Add(1)
+				c.lastWord(err.Error())
+			}
+			return
+		}
+		if !c.take(frame, time.Now()) {
+			return
+		}
+	}
+}
+
+// end gives up what the client left open.
+func (c *conn) end() {
+	c.mu.Lock()
+	c.closed = true
+	open := c.open
+	c.open = nil
+	c.line, c.held = nil, 0
+	c.mu.Unlock()
+	c.signal()
+	c.nc.Close()
+	for _, r := range open {
+		c.front.core.Abandon(r)
+	}
+	c.front.forget(c)
+}
+
+// lastWord tells the client why its connection ends, if it reads at once.
+func (c *conn) lastWord(text string) {
+	c.nc.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+	c.nc.Write(msgrpc.AppendProtocolError(nil, text))
+}
+
+// take handles one message; false ends the connection.
+func (c *conn) take(frame []byte, arrival time.Time) bool {
+	f := c.front
+	m, err := msgrpc.Parse(frame)
+	if err != nil {
+		f.malformed.Add(1)
+		return c.complain(err.Error())
+	}
+	switch m.Kind {
+	case msgrpc.Response:
+		f.malformed.Add(1)
+		return c.complain("a response, though nothing was asked")
+	case msgrpc.Notification:
+		return c.notified(m)
+	}
+	switch string(m.Method) {
+	case msgrpc.MethodReady:
+		c.answer(answer{id: m.ID, plain: msgrpc.AppendReady(nil, m.ID, f.core.Ready() && !f.isDraining())})
+		return true
+	case msgrpc.MethodCall:
+	default:
+		f.rejected.Add(1)
+		c.answer(answer{id: m.ID, fault: &msgrpc.Fault{Kind: msgrpc.KindRejected, Text: "method: call and ready are known"}})
+		return true
+	}
+	c.mu.Lock()
+	_, twice := c.open[m.ID]
+	flood := len(c.open) >= f.cfg.Open || c.held > f.cfg.Held
+	full := len(c.line) >= 4*f.cfg.Open
+	c.mu.Unlock()
+	if twice { // an answer could not say which of the two it is for
+		f.repeated.Add(1)
+		return c.complain("a request under a msgid that is open was passed over")
+	}
+	if full { // it asks on and on and reads nothing
+		f.stalled.Add(1)
+		return false
+	}
+	if flood {
+		f.flooded.Add(1)
+		c.answer(answer{id: m.ID, fault: &msgrpc.Fault{Kind: msgrpc.KindRefused, Pause: floodPause, Text: "too many at once on one connection"}})
+		return true
+	}
+	call, err := msgrpc.ParseCall(m.Params)
+	if err != nil {
+		f.rejected.Add(1)
+		c.answer(answer{id: m.ID, fault: &msgrpc.Fault{Kind: msgrpc.KindRejected, Text: err.Error()}})
+		return true
+	}
+	r, fault := f.request(call, arrival)
+	if fault != nil {
+		f.rejected.Add(1)
+		c.answer(answer{id: m.ID, fault: fault})
+		return true
+	}
+	id := m.ID
+	r.Reply = func(a core.Answer) { c.reply(id, r, a) }
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false // it was closed as idle: the client sends the request once more
+	}
+	c.open[id] = r
+	c.mu.Unlock()
+	f.taken.Add(1)
+	f.core.Submit(r)
+	return true
+}
+
+// notified handles a notification.
+func (c *conn) notified(m msgrpc.Message) bool {
+	if string(m.Method) != msgrpc.MethodCancel {
+		return true // a later version's, perhaps
+	}
+	id, err := msgrpc.ParseCancel(m.Params)
+	if err != nil {
+		c.front.malformed.Add(1)
+		return c.complain("cancel: " + err.Error())
+	}
+	c.mu.Lock()
+	r := c.open[id]
+	delete(c.open, id)
+	c.mu.Unlock()
+	if r != nil {
+		c.front.core.Abandon(r)
+		c.answer(answer{id: id, fault: &msgrpc.Fault{Kind: msgrpc.KindCancelled}})
+	}
+	return true
+}
+
+// complain tells the client of a message that was passed over; a connection
+// that brings many of them ends.
+func (c *conn) complain(text string) bool {
+	c.mu.Lock()
+	c.note = msgrpc.AppendProtocolError(c.note, text)
+	c.mu.Unlock()
+	c.signal()
+	c.strikes++
+	return c.strikes < strikesOut
+}
+
+// reply takes the core's answer, on the core's goroutine.
+func (c *conn) reply(id uint32, r *core.Request, a core.Answer) {
+	c.mu.Lock()
+	if c.open[id] != r { // given up meanwhile
+		c.mu.Unlock()
+		return
+	}
+	delete(c.open, id)
+	c.line = append(c.line, answer{id: id, core: a})
+	c.held += len(a.Body)
+	c.mu.Unlock()
+	c.signal()
+}
+
+// answer puts an answer in line that the core has no part in.
+func (c *conn) answer(a answer) {
+	c.mu.Lock()
+	if !c.closed {
+		c.line = append(c.line, a)
+	}
+	c.mu.Unlock()
+	c.signal()
+}
+
+// kinds are those of the verdicts.
+var kinds = [...]string{
+	core.Refused: msgrpc.KindRefused, core.Failed: msgrpc.KindFailed, core.TimedOut: msgrpc.KindTimeout, core.Duplicate: msgrpc.KindDuplicate,
+}
+
+func (a *answer) append(b []byte) []byte {
+	switch {
+	case a.plain != nil:
+		return append(b, a.plain...)
+	case a.fault != nil:
+		return a.fault.Append(b, a.id)
+	case a.core.Verdict == core.Served:
+		for name := range a.core.Fields { // of the hop, or set anew
+			if msgrpc.HopField(name) {
+				delete(a.core.Fields, name)
+			}
+		}
+		r := msgrpc.Result{Fields: a.core.Fields, Body: a.core.Body, InFlight: -1}
+		return r.Append(b, a.id)
+	}
+	return (&msgrpc.Fault{Kind: kinds[a.core.Verdict], Pause: a.core.Pause}).Append(b, a.id)
+}
+
+// write is the writer. A client that does not read what it asked for loses its
+// connection: its answers are not held for it.
+func (c *conn) write() {
+	defer c.nc.Close() // ends the reader too
+	var b []byte
+	var batch []answer
+	for range c.wake {
+		c.mu.Lock()
+		batch, c.line = c.line, batch[:0]
+		b = append(b[:0], c.note...)
+		c.note = c.note[:0]
+		c.mu.Unlock()
+		size := 0
+		for i := range batch {
+			b = batch[i].append(b)
+			size += len(batch[i].core.Body)
+			batch[i] = answer{}
+		}
+		if len(b) > 0 {
+			c.nc.SetWriteDeadline(time.Now().Add(stallIn))
+			if _, err := c.nc.Write(b); err != nil {
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					c.front.stalled.Add(1)
+				}
+				return
+			}
+		}
+		c.mu.Lock()
+		c.held = max(0, c.held-size)
+		idle := c.idleLocked()
+		if idle {
+			c.since = time.Now()
+		}
+		over := c.closed || idle && c.finish
+		if over {
+			c.closed = true
+		}
+		c.mu.Unlock()
+		if over {
+			return
+		}
+		if cap(b) > keptBuffer {
+			b = nil
+		}
+	}
+}
+
+// keptBuffer is how large a buffer a writer keeps.
+const keptBuffer = 32 << 10
--- /dev/null
+++ b/internal/front/rpcfront/front.go
@@ -0,0 +1,264 @@
+// Package rpcfront takes the application's requests by MessagePack-RPC, many at
+// once on one connection, answered in any order.
+package rpcfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/msgrpc"
+	"mothridge/policy"
+)
+
+// Core takes the requests.
+type Core interface {
+	Submit(*core.Request)
+	Abandon(*core.Request)
+	Ready() bool
+}
+
+// Config is what a Front keeps to. Zeros take the defaults.
+type Config struct {
+	Classes     []string // names by number
+	Effects     []policy.Effect
+	Tenants     []string // empty: there is one, and requests need not name it
+	Connections int      // the most that are open at once
+	Open        int      // requests of one connection that are taken and not answered; more are refused
+	Held        int      // bytes of answers that wait for one client to read; beyond, its new requests are refused
+}
+
+// The defaults of Config.
+const (
+	DefaultOpen = 64
+	DefaultHeld = 1 << 20
+)
+
+const (
+	// wholeIn is how long a message may take from its first byte to its last.
+	wholeIn = 2500 * time.Millisecond
+	// stallIn is how long a client may leave its answers unread.
+	stallIn = time.Second
+	// floodPause is what a client that asks for too much at once is told to wait.
+	floodPause = 100 * time.Millisecond
+	// strikesOut is how many messages that are none a connection may send.
+	strikesOut = 16
+)
+
+// Counters tell what came on the connections.
+type Counters struct {
+	Connections uint64 // accepted
+	Taken       uint64 // requests that were given to the core
+	Rejected    uint64 // requests that were wrong
+	Flooded     uint64 // requests refused as too many were open on their connection
+	Repeated    uint64 // requests under a msgid that was open: passed over
+	Malformed   uint64 // messages that could not be read
+	Stalled     uint64 // connections closed because their client did not read
+}
+
+// Front is the MessagePack-RPC side towards the application.
+type Front struct {
+	core    Core
+	cfg     Config
+	classes map[string]int
+	tenants map[string]int
+	ln      net.Listener
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+	closed   bool
+	changed  chan struct{} // closed and made anew when a connection ends
+
+	connections, taken, rejected, flooded, repeated, malformed, stalled atomic.Uint64
+}
+
+// New makes a Front on a listener; Serve starts it.
+func New(c Config, k Core, ln net.Listener) *Front {
+	if c.Open == 0 {
+		c.Open = DefaultOpen
+	}
+	if c.Held == 0 {
+		c.Held = DefaultHeld
+	}
+	return &Front{
+		core: k, cfg: c, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants), ln: ln,
+		conns: make(map[*conn]struct{}), changed: make(chan struct{}),
+	}
+}
+
+// Counters returns what was counted so far.
+func (f *Front) Counters() Counters {
+	return Counters{
+		f.connections.Load(), f.taken.Load(), f.rejected.Load(), f.flooded.Load(), f.repeated.Load(), f.malformed.Load(), f.stalled.Load(),
+	}
+}
+
+// Serve serves until Shutdown, or returns the listener's error.
+func (f *Front) Serve() error {
+	for {
+		f.makeRoom()
+		nc, err := f.ln.Accept()
+		if err != nil {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.closed {
+				return nil
+			}
+			return err
+		}
+		f.connections.Add(1)
+		c := newConn(f, nc)
+		f.mu.Lock()
+		f.conns[c] = struct{}{}
+		if f.draining {
+			c.drain()
+		}
+		f.mu.Unlock()
+		go c.write()
+		go c.read()
+	}
+}
+
+// makeRoom waits until one more connection may be open. The one that was idle
+// longest makes way; where every one has a request open, new ones wait to be accepted.
+func (f *Front) makeRoom() {
+	for {
+		f.mu.Lock()
+		if len(f.conns) < f.cfg.Connections || f.closed {
+			f.mu.Unlock()
+			return
+		}
+		changed := f.changed
+		var oldest *conn
+		var since time.Time
+		for c := range f.conns {
+			if s, idle := c.idleSince(); idle && (oldest == nil || s.Before(since)) {
+				oldest, since = c, s
+			}
+		}
+		f.mu.Unlock()
+		if oldest != nil {
+			oldest.closeIdle()
+		}
+		// A connection that becomes idle is not told of; it is looked for now and then.
+		t := time.NewTimer(20 * time.Millisecond)
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (f *Front) forget(c *conn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.mu.Unlock()
+}
+
+// Drain asks every client, and those that still come, to send nothing new.
+func (f *Front) Drain() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.draining = true
+	for c := range f.conns {
+		c.drain()
+	}
+}
+
+// Shutdown closes the listener and each connection as soon as all that was
+// taken on it is answered and written, or ctx ends.
+func (f *Front) Shutdown(ctx context.Context) error {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
+	err := f.ln.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	for {
+		f.mu.Lock()
+		changed, left := f.changed, len(f.conns)
+		for c := range f.conns {
+			c.finishUp()
+		}
+		f.mu.Unlock()
+		if left == 0 {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			f.mu.Lock()
+			for c := range f.conns {
+				c.nc.Close()
+			}
+			f.mu.Unlock()
+			return err
+		}
+	}
+}
+
+// request makes a call the core's, or returns what the client is told instead.
+func (f *Front) request(call *msgrpc.Call, arrival time.Time) (*core.Request, *msgrpc.Fault) {
+	wrong := func(text string) (*core.Request, *msgrpc.Fault) {
+		return nil, &msgrpc.Fault{Kind: msgrpc.KindRejected, Text: text}
+	}
+	class, ok := f.classes[call.Class]
+	if !ok {
+		return wrong("class: the settings have none of that name")
+	}
+	tenant := 0
+	if len(f.tenants) > 0 {
+		if tenant, ok = f.tenants[call.Tenant]; !ok {
+			return wrong("tenant: the settings have none of that name")
+		}
+	}
+	if strings.ContainsFunc(call.ID, unprintable) {
+		return wrong("id: printable ASCII is meant")
+	}
+	if strings.ContainsFunc(call.Target, unprintable) || strings.ContainsFunc(call.Host, unprintable) {
+		return wrong("target and host: printable ASCII is meant")
+	}
+	effect := f.cfg.Effects[class]
+	switch {
+	case effect == policy.Keyed && call.Key == "":
+		return wrong("key is missing: without it a repeat could not be told from a new request")
+	case effect != policy.Keyed && call.Key != "":
+		return wrong("key: requests of this class have none")
+	case effect == policy.Safe && len(call.Body) > 0:
+		return wrong("body: requests of a class that is safe to repeat have none")
+	}
+	method := "POST"
+	if effect == policy.Safe {
+		method = "GET"
+	}
+	host := call.Host
+	if host == "" {
+		host = defaultHost
+	}
+	return &core.Request{
+		ID: call.ID, Class: class, Tenant: tenant, Repeat: call.Retry, Work: call.Work,
+		Until:   arrival.Add(max(0, call.Left-core.AnswerMargin)),
+		Message: core.Message{Method: method, Target: call.Target, Host: host, Fields: call.HTTPFields(), Body: call.Body},
+	}, nil
+}
+
+// defaultHost stands where a client names none and an HTTP/1.1 node must have one.
+const defaultHost = "service.internal"
+
+func unprintable(r rune) bool { return r <= ' ' || r > '~' }
+
+func (f *Front) isDraining() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draining
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/operator"
 	"mothridge/internal/registry/platform"
 	"mothridge/internal/settings"
 	"mothridge/policy"
@@ -24,7 +25,8 @@
 	Seed      uint64
 	Known     *platform.Listing // the list of upstreams as last held; nil where there is none
 	Limits    Limits
-	path      string // the file it came from
+	Operator  operator.File // what the operators set; nothing unless their file was named
+	path      string        // the file it came from
 
 	Policy      policy.Config
 	Classes     []string
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"sync"
@@ -72,7 +73,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		done <- serve(ctx, reload, c, ln)
+		done <- Serve(ctx, reload, c, []net.Listener{ln})
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -14,8 +15,11 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/front/httpfront"
+	"mothridge/internal/front/rpcfront"
+	"mothridge/internal/operator"
 	"mothridge/internal/registry/platform"
 	"mothridge/internal/transport/httpnode"
+	"mothridge/internal/transport/rpcnode"
 )
 
 const (
@@ -41,24 +45,54 @@
 // Run listens and serves until stop is done, then finishes what was taken. At
 // each value of reload it reads its configuration again.
 func Run(stop context.Context, reload <-chan os.Signal, c *Config) error {
-	ln, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return err
+	var lns []net.Listener
+	defer func() {
+		for _, ln := range lns {
+			ln.Close()
+		}
+	}()
+	addresses := []string{c.Listen}
+	for _, l := range c.Operator.Listeners {
+		addresses = append(addresses, string(l.Address))
 	}
-	return serve(stop, reload, c, ln)
+	for _, addr := range addresses {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		lns = append(lns, ln)
+	}
+	return Serve(stop, reload, c, lns)
+}
+
+// front takes requests by one protocol and gives each its one answer.
+type front interface {
+	Serve() error
+	Drain()                         // asks clients to send nothing new; what still comes is taken
+	Shutdown(context.Context) error // answers what was taken, then ends
+}
+
+// transport carries out attempts by one protocol.
+type transport interface {
+	Node(addr string) core.Node
+	Sweep(now time.Time) // closes what has been idle for too long
 }
 
-func serve(stop context.Context, reload <-chan os.Signal, c *Config, ln net.Listener) error {
-	defer ln.Close()
+// Serve does the same on listeners that are open: the platform's first, then
+// those of the operators' file in its order. It closes them.
+func Serve(stop context.Context, reload <-chan os.Signal, c *Config, lns []net.Listener) error {
+	defer func() {
+		for _, ln := range lns {
+			ln.Close()
+		}
+	}()
 	forClients, forUpstreams := c.Limits.connections()
-	nodes := httpnode.New(httpnode.Config{
-		DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: forUpstreams,
-		LoadField: c.LoadField, Reports: c.Policy.Reports,
-	})
-	k, err := core.New(core.Config{
-		Policy: c.Policy, Seed: c.Seed, Zones: c.Zones, Known: c.known(),
-		Reach: func(i core.Instance) core.Node { return nodes.Node(i.Addr) },
-	})
+	reach, transports := c.transports(forUpstreams)
+	p := c.Policy
+	if n := int(c.Operator.Limits.Slots); n > 0 {
+		p.Slots = n
+	}
+	k, err := core.New(core.Config{Policy: p, Seed: c.Seed, Zones: c.Zones, Known: c.known(), Reach: reach})
 	if err != nil {
 		return err
 	}
@@ -74,20 +108,20 @@
 	}
 	go d.Follow(run)
 	loops.Go(func() { k.Run(run) })
-	go sweep(run, nodes)
+	go sweep(run, transports)
 
-	front := httpfront.New(httpfront.Config{
-		Classes: c.Classes, Effects: c.effects(), Tenants: c.Tenants, Connections: forClients,
-	}, k, ln)
-	served := make(chan error, 1)
-	go func() { served <- front.Serve() }()
+	fronts := c.fronts(k, lns, forClients)
+	served := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { served <- f.Serve() }()
+	}
 	slog.Info("serving", "name", c.Name, "listen", c.Listen, "balancers", c.Policy.Balancers)
 	for {
 		select {
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
 		case <-stop.Done():
-			return shutDown(front)
+			return shutDown(fronts)
 		case <-reload:
 			was := c.Discovery
 			if err := c.reload(); err != nil {
@@ -99,30 +133,96 @@
 	}
 }
 
+// fronts makes the front of each listener; they share the clients' connections evenly.
+func (c *Config) fronts(k *core.Core, lns []net.Listener, connections int) []front {
+	each, effects := connections/len(lns), c.effects()
+	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each}
+	fronts := []front{httpfront.New(overHTTP, k, lns[0])}
+	for i, l := range c.Operator.Listeners {
+		if l.Protocol == operator.HTTP {
+			fronts = append(fronts, httpfront.New(overHTTP, k, lns[i+1]))
+			continue
+		}
+		fronts = append(fronts, rpcfront.New(rpcfront.Config{
+			Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Open: int(l.Open), Held: int(l.Held),
+		}, k, lns[i+1]))
+	}
+	return fronts
+}
+
+// transports makes those that the pools need, and finds the one of an instance.
+func (c *Config) transports(connections int) (func(core.Instance) core.Node, []transport) {
+	forRPC := 0
+	if c.Operator.Uses(operator.RPC) {
+		forRPC = connections / 2
+	}
+	overHTTP := httpnode.New(httpnode.Config{
+		DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: connections - forRPC,
+		LoadField: c.LoadField, Reports: c.Policy.Reports,
+	})
+	all := []transport{overHTTP}
+	var ofPool []transport
+	rpcPools := 0
+	for _, p := range c.Operator.Pools {
+		if p.Protocol == operator.RPC {
+			rpcPools++
+		}
+	}
+	for _, p := range c.Operator.Pools {
+		if p.Protocol == operator.HTTP {
+			ofPool = append(ofPool, overHTTP)
+			continue
+		}
+		t := rpcnode.New(rpcnode.Config{
+			DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: max(1, forRPC/rpcPools), Outstanding: int(p.Outstanding),
+		})
+		ofPool, all = append(ofPool, t), append(all, t)
+	}
+	return func(i core.Instance) core.Node {
+		for n := range c.Operator.Pools {
+			if c.Operator.Pools[n].Matches(i.Name, i.Site, i.Kind) {
+				return ofPool[n].Node(i.Addr)
+			}
+		}
+		return overHTTP.Node(i.Addr)
+	}, all
+}
+
 // shutDown ends service for a planned restart. New connections go on coming for
-// a while, and closing the listener resets those that wait to be accepted: it
-// stays open until then, while every answer tells its client to close.
-func shutDown(f *httpfront.Front) error {
+// a while, and closing a listener resets those that wait to be accepted: it
+// stays open until then, while clients are told to send nothing new.
+func shutDown(fronts []front) error {
 	slog.Info("draining")
-	f.Drain() // none that is idle may get a request after the listener has gone
+	for _, f := range fronts {
+		f.Drain() // none that is idle may get a request after the listener has gone
+	}
 	time.Sleep(lastConnections)
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
-	if err := f.Shutdown(ctx); err != nil {
-		return err
+	ended := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { ended <- f.Shutdown(ctx) }()
+	}
+	var errs error
+	for range fronts {
+		errs = errors.Join(errs, <-ended)
 	}
-	slog.Info("ended")
-	return nil
+	if errs == nil {
+		slog.Info("ended")
+	}
+	return errs
 }
 
 // sweep closes idle upstream connections in time.
-func sweep(ctx context.Context, t *httpnode.Transport) {
+func sweep(ctx context.Context, all []transport) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case now := <-tick.C:
-			t.Sweep(now)
+			for _, t := range all {
+				t.Sweep(now)
+			}
 		case <-ctx.Done():
 			return
 		}
