--- /dev/null
+++ b/internal/rig/faults_test.go
@@ -0,0 +1,145 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"mothridge/internal/peers"
+)
+
+// pairings are all that a request can come by and go on by.
+var pairings = []struct{ front, nodes peers.Protocol }{
+	{peers.HTTP, peers.HTTP}, {peers.HTTP, peers.RPC}, {peers.RPC, peers.HTTP}, {peers.RPC, peers.RPC},
+}
+
+func pairing(i int) string { return fmt.Sprintf("%s to %s", pairings[i].front, pairings[i].nodes) }
+
+// start puts a rig together that ends with the test.
+func start(t testing.TB, o Options) *Rig {
+	t.Helper()
+	r, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := r.Close(); err != nil {
+			t.Errorf("the sidecar ended with %v", err)
+		}
+	})
+	return r
+}
+
+// count is what a client and the nodes saw of a run.
+type count struct {
+	served, refused, failed, other int
+	sends                          int // attempts that reached a node whole
+	doubled                        int // effects of unsafe requests that ran more than once
+}
+
+func (c count) String() string {
+	return fmt.Sprintf("%4d %4d %4d %4d %5d %4d", c.served, c.refused, c.failed, c.other, c.sends, c.doubled)
+}
+
+// fault is one scripted trouble. first is what the first try of a request
+// meets, later what every other one does.
+type fault struct {
+	name    string
+	first   peers.Action
+	later   peers.Action
+	timeout time.Duration
+	n       int
+}
+
+var faults = []fault{
+	{name: "none", n: 40},
+	{name: "error, then served", first: peers.Action{Deed: peers.Error}, n: 20},
+	{name: "error always", first: peers.Action{Deed: peers.Error}, later: peers.Action{Deed: peers.Error}, n: 10},
+	{name: "turned away, then served", first: peers.Action{Deed: peers.TurnAway}, n: 20},
+	{name: "turned away always", first: peers.Action{Deed: peers.TurnAway}, later: peers.Action{Deed: peers.TurnAway}, n: 10},
+	{name: "reset, then served", first: peers.Action{Deed: peers.Reset}, n: 20},
+	{name: "answer cut, then served", first: peers.Action{Deed: peers.Cut, Bytes: 7}, n: 20},
+	{name: "no answer at all, spoiled", first: peers.Action{Deed: peers.Spoil}, n: 20},
+	{name: "answered twice", first: peers.Action{Deed: peers.Twice}, later: peers.Action{Deed: peers.Twice}, n: 20},
+	{name: "an answer to nobody", first: peers.Action{Deed: peers.Stray}, later: peers.Action{Deed: peers.Stray}, n: 20},
+	{name: "hangs", first: peers.Action{Deed: peers.Hang}, later: peers.Action{Deed: peers.Hang}, timeout: 200 * time.Millisecond, n: 4},
+	{name: "answers late", first: peers.Action{Delay: 300 * time.Millisecond}, later: peers.Action{Delay: 300 * time.Millisecond}, timeout: 200 * time.Millisecond, n: 4},
+}
+
+// play runs one fault with requests of one class, one after the other, so that
+// the counts do not depend on the machine.
+func play(t *testing.T, f fault, class string, p int) count {
+	r, err := Start(Options{Front: pairings[p].front, Nodes: pairings[p].nodes, Script: func(c peers.Call) peers.Action {
+		if c.Try == 1 {
+			return f.first
+		}
+		return f.later
+	}})
+	if err != nil {
+		t.Error(err)
+		return count{}
+	}
+	defer r.Close() // here and not when the test ends: the pairings end side by side
+	client := r.Client()
+	defer client.Close()
+	var c count
+	for i := range f.n {
+		call := Request(class, fmt.Sprintf("%s-%d", class, i), Tenant(i))
+		if f.timeout > 0 {
+			call.Timeout = f.timeout
+		}
+		// A lost request would keep its client waiting: the deadline and the rule's slack.
+		ctx, cancel := context.WithTimeout(t.Context(), call.Timeout+3*time.Second)
+		began := time.Now()
+		got := client.Do(ctx, call)
+		cancel()
+		if took := time.Since(began); took > call.Timeout+time.Second {
+			t.Errorf("%s: answered after %v of %v", call.ID, took, call.Timeout)
+		}
+		switch got.Verdict {
+		case peers.Served:
+			if c.served++; string(got.Body) != call.ID {
+				t.Errorf("%s: served with %q", call.ID, got.Body)
+			}
+		case peers.Refused:
+			c.refused++
+		case peers.Failed:
+			c.failed++
+		default:
+			c.other++
+			t.Errorf("%s: %+v", call.ID, got)
+		}
+		c.sends += r.Ledger.Tries(call.ID)
+	}
+	c.doubled = len(r.Ledger.Doubled(func(id string) bool { return class == Once }))
+	return c
+}
+
+// The same faults over every pairing give the same counts: what a protocol
+// carries is no matter of the decisions. Run with -v for the table.
+func TestFaultsOverAllPairings(t *testing.T) {
+	for _, class := range []string{Read, Entry, Once} {
+		for _, f := range faults {
+			t.Run(class+"/"+f.name, func(t *testing.T) {
+				t.Parallel()
+				var got [4]count
+				var wg sync.WaitGroup
+				for p := range pairings {
+					wg.Go(func() { got[p] = play(t, f, class, p) })
+				}
+				wg.Wait()
+				for p := range pairings {
+					t.Logf("%-28s serv refu fail  oth sends dble\n%-28s %v", "", pairing(p), got[p])
+					if got[p] != got[0] {
+						t.Errorf("%s gives %v, %s gives %v", pairing(p), got[p], pairing(0), got[0])
+					}
+					if got[p].doubled > 0 {
+						t.Errorf("%s: %d effects ran twice", pairing(p), got[p].doubled)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	c, err := parseConfig(text)
+	c, err := ParseConfig(text)
 	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -110,7 +110,8 @@
 	return nil
 }
 
-func parseConfig(text []byte) (*Config, error) {
+// ParseConfig reads the text of a configuration file.
+func ParseConfig(text []byte) (*Config, error) {
 	var f struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
--- a/internal/transport/httpnode/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -20,7 +20,8 @@
 	addr string
 
 	// The pool's lock guards these.
-	idle []*conn // the most recently used last
+	idle []*conn       // the most recently used last
+	pace time.Duration // how long an exchange takes lately, on the mean; 0: not known
 	gone bool
 }
 
@@ -31,6 +32,7 @@
 	limit io.LimitedReader // bounds what one answer may bring
 	r     *bufio.Reader    // reads through limit
 	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
+	taken time.Time        // when it was last given out
 	idle  time.Time        // since when it has been idle
 }
 
@@ -55,6 +57,12 @@
 	// request: what comes behind an answer and belongs to none shows by then, and
 	// must not be read as the next one's answer.
 	restFor = 2 * time.Millisecond
+	// quick is the mean exchange under which an upstream gets another connection
+	// rather than a request that waits for one to have rested.
+	quick = 2 * restFor
+	// restMost bounds the connections to an upstream that rest at once. One core
+	// does not ask more than 25,000 times a second, and 50 rest then.
+	restMost = 64
 	// keptBuffer is how large a buffer an idle connection may keep.
 	keptBuffer = 8 << 10
 )
@@ -68,29 +76,45 @@
 	}
 }
 
-// get returns an idle connection to the upstream, the most recently used first,
-// or opens one.
+// get returns an idle connection to the upstream or opens one. Of those that
+// have rested the most recently used goes first, so that what is too many ages
+// and is closed. Where none has rested, a further one is opened if the upstream
+// is so quick that waiting would cost more than half of an exchange again; else
+// the one that needs to rest least is waited for.
 func (p *pool) get(ctx context.Context, to *peer) (*conn, error) {
 	for {
-		c := p.takeIdle(to)
+		now := time.Now()
+		c := p.takeIdle(to, now)
 		if c == nil {
 			return p.dial(ctx, to)
 		}
-		time.Sleep(restFor - time.Since(c.idle))
-		if c.usable(time.Now(), p.idleFor) {
+		if rest := restFor - now.Sub(c.idle); rest > 0 {
+			time.Sleep(rest)
+			now = time.Now()
+		}
+		if c.usable(now, p.idleFor) {
+			c.taken = now
 			return c, nil
 		}
 		p.drop(c)
 	}
 }
 
-func (p *pool) takeIdle(to *peer) *conn {
+// takeIdle takes the connection that is to be used next; nil says to open one.
+func (p *pool) takeIdle(to *peer, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(to.idle) == 0 {
+	rested := len(to.idle) // how many have; those that have not stand behind them
+	for rested > 0 && now.Sub(to.idle[rested-1].idle) < restFor {
+		rested--
+	}
+	switch {
+	case rested > 0:
+		return p.takeLocked(to, rested-1)
+	case len(to.idle) == 0, to.pace > 0 && to.pace < quick && len(to.idle) < restMost && len(p.slots) < cap(p.slots):
 		return nil
 	}
-	return p.takeLocked(to, len(to.idle)-1)
+	return p.takeLocked(to, 0)
 }
 
 // takeLocked takes an idle connection out.
@@ -115,7 +139,7 @@
 		<-p.slots
 		return nil, err
 	}
-	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}}
+	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}, taken: time.Now()}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
@@ -175,6 +199,11 @@
 		p.drop(c) // its slot is wanted, or itself no more
 		return
 	}
+	if took := c.idle.Sub(c.taken); c.peer.pace == 0 {
+		c.peer.pace = took
+	} else {
+		c.peer.pace += (took - c.peer.pace) / 8
+	}
 	c.peer.idle = append(c.peer.idle, c)
 	p.kept[c.peer] = true
 	p.mu.Unlock()
