--- /dev/null
+++ b/cmd/mothridge/commands.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"mothridge/internal/operator"
+	"mothridge/internal/peers"
+	"mothridge/internal/try"
+)
+
+// commands are the operators' commands.
+type commands struct {
+	Run   runCommand   `cmd:"" help:"Run the sidecar. The platform's variables (ROUTER_CONFIG and others) must be set."`
+	Check checkCommand `cmd:"" help:"Check an operators' file and say what it sets."`
+	Try   tryCommand   `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
+}
+
+type runCommand struct {
+	Operator string `placeholder:"FILE" help:"The operators' file, such as deploy/mothridge.toml."`
+}
+
+// Run runs the sidecar.
+func (c *runCommand) Run() error { return run(c.Operator) }
+
+type checkCommand struct {
+	File string `arg:"" help:"The file to check."`
+}
+
+// Run checks a file.
+func (c *checkCommand) Run() error {
+	f, err := operator.Load(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s is good: %s\n", c.File, f.Summary())
+	return nil
+}
+
+type tryCommand struct {
+	Protocol string        `enum:"http,rpc" default:"http" help:"What clients and nodes speak: http or rpc (MessagePack-RPC)."`
+	Duration time.Duration `default:"15s" help:"How long the day lasts, at least 4s."`
+	Rate     int           `default:"200" help:"Requests a second."`
+	Seed     uint64        `default:"1" help:"The same seed asks the same requests."`
+}
+
+// Run plays a day.
+func (c *tryCommand) Run() error {
+	if c.Rate < 1 || c.Rate > 5000 {
+		return fmt.Errorf("--rate is %d: 1 to 5000 requests a second are meant", c.Rate)
+	}
+	if c.Duration < try.Shortest || c.Duration > time.Hour {
+		return fmt.Errorf("--duration is %v: %v to 1h is meant", c.Duration, try.Shortest)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	o := try.Options{Protocol: peers.HTTP, Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Out: os.Stdout}
+	if c.Protocol == "rpc" {
+		o.Protocol = peers.RPC
+	}
+	if s, err := os.Stdout.Stat(); err == nil {
+		o.Live = s.Mode()&os.ModeCharDevice != 0
+	}
+	return try.Run(ctx, o)
+}
+
+// command runs one of the commands.
+func command(args []string) error {
+	k, err := kong.New(new(commands), kong.Name("mothridge"),
+		kong.Description("The sidecar. Without a command it runs as the platform starts it."))
+	if err != nil {
+		return err
+	}
+	c, err := k.Parse(args)
+	if err != nil {
+		return err
+	}
+	return c.Run()
+}
--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -1,5 +1,6 @@
 // Mothridge is the sidecar: it runs beside one application process and carries
-// its requests to the upstreams.
+// its requests to the upstreams. Without arguments it runs as the platform
+// starts it; its commands are for the operators.
 package main
 
 import (
@@ -12,18 +13,26 @@
 	"runtime/debug"
 	"syscall"
 
+	"mothridge/internal/operator"
 	"mothridge/internal/sidecar"
 )
 
 func main() {
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
+	var err error
+	if len(os.Args) == 1 {
+		err = run("") // the platform's way: nothing of the command line is set up
+	} else {
+		err = command(os.Args[1:])
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "mothridge:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// run runs the sidecar until SIGTERM. operators names their file; empty: there is none.
+func run(operators string) error {
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer done()
 	// Unhandled, the signal that says 'read your configuration again' would end the program.
@@ -33,6 +42,13 @@
 	if err != nil {
 		return err
 	}
+	if operators != "" {
+		f, err := operator.Load(operators)
+		if err != nil {
+			return err
+		}
+		c.Operator = *f
+	}
 	fit(c.Limits)
 	return sidecar.Run(stop, reload, c)
 }
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -102,7 +102,6 @@
 // Serve serves until Shutdown, or returns the listener's error.
 func (f *Front) Serve() error {
 	for {
-		f.makeRoom()
 		nc, err := f.ln.Accept()
 		if err != nil {
 			f.mu.Lock()
@@ -113,8 +112,14 @@
 			return err
 		}
 		f.connections.Add(1)
+		f.makeRoom() // only now: nobody is sent away for one who does not come
 		c := newConn(f, nc)
 		f.mu.Lock()
+		if f.closed {
+			f.mu.Unlock()
+			nc.Close()
+			return nil
+		}
 		f.conns[c] = struct{}{}
 		if f.draining {
 			c.drain()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -57,38 +57,32 @@
 	RPC  Protocol = "msgpack-rpc"
 )
 
-// UnmarshalText takes the name of a protocol.
-func (p *Protocol) UnmarshalText(b []byte) error {
-	switch Protocol(b) {
-	case HTTP, RPC:
-		*p = Protocol(b)
+func (p Protocol) check() error {
+	switch p {
+	case HTTP, RPC, "": // whether one may be absent is for its table to say
 		return nil
 	}
-	return fmt.Errorf("protocol %q is not known: %q or %q is meant", b, HTTP, RPC)
+	return fmt.Errorf("protocol %q is not known: %q or %q is meant", string(p), HTTP, RPC)
 }
 
 // Address is an IP address and a port.
 type Address string
 
-// UnmarshalText takes an address.
-func (a *Address) UnmarshalText(b []byte) error {
-	ap, err := netip.ParseAddrPort(string(b))
-	if err != nil || ap.Port() == 0 {
-		return fmt.Errorf("address %q: an IP address and a port are meant, such as \"127.0.0.1:7071\"", b)
+func (a Address) check() error {
+	ap, err := netip.ParseAddrPort(string(a))
+	if a != "" && (err != nil || ap.Port() == 0) {
+		return fmt.Errorf("address %q: an IP address and a port are meant, such as \"127.0.0.1:7071\"", string(a))
 	}
-	*a = Address(b)
 	return nil
 }
 
 // Pattern is a shell pattern for names: * stands for any text, ? for one sign.
 type Pattern string
 
-// UnmarshalText takes a pattern.
-func (p *Pattern) UnmarshalText(b []byte) error {
-	if _, err := path.Match(string(b), ""); err != nil || len(b) == 0 {
-		return fmt.Errorf("pattern %q: a name is meant, in which * stands for any text and [ab] for one of two signs", b)
+func (p Pattern) check() error {
+	if _, err := path.Match(string(p), ""); err != nil || p == "" {
+		return fmt.Errorf("pattern %q: a name is meant, in which * stands for any text and [ab] for one of two signs", string(p))
 	}
-	*p = Pattern(b)
 	return nil
 }
 
@@ -157,6 +151,12 @@
 	addresses := make(map[Address]int)
 	for i := range f.Listeners {
 		l, at := &f.Listeners[i], fmt.Sprintf("listener[%d]", i)
+		if err := l.Protocol.check(); err != nil {
+			return at + ".protocol", err
+		}
+		if err := l.Address.check(); err != nil {
+			return at + ".address", err
+		}
 		switch {
 		case l.Protocol == "":
 			return at, fmt.Errorf("this listener has no protocol: %q or %q is meant", HTTP, RPC)
@@ -180,6 +180,16 @@
 	names := make(map[string]int)
 	for i := range f.Pools {
 		p, at := &f.Pools[i], fmt.Sprintf("pool[%d]", i)
+		if err := p.Protocol.check(); err != nil {
+			return at + ".protocol", err
+		}
+		for key, patterns := range map[string][]Pattern{".hosts": p.Hosts, ".sites": p.Sites, ".kinds": p.Kinds} {
+			for _, pattern := range patterns {
+				if err := pattern.check(); err != nil {
+					return at + key, err
+				}
+			}
+		}
 		switch {
 		case p.Name == "":
 			return at, errors.New("this pool has no name")
@@ -210,3 +220,12 @@
 	}
 	return "", nil
 }
+
+// Summary says in a line what the file sets.
+func (f *File) Summary() string {
+	parts := []string{fmt.Sprintf("%d more listeners", len(f.Listeners)), fmt.Sprintf("%d pools", len(f.Pools))}
+	if f.Limits.Slots > 0 {
+		parts = append(parts, fmt.Sprintf("%d slots", f.Limits.Slots))
+	}
+	return strings.Join(parts, ", ")
+}
