--- /dev/null
+++ b/cmd/mothridge/commands_test.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mothridge/internal/peers"
+)
+
+// program runs the program with arguments and returns what it printed and how it ended.
+func program(t *testing.T, args ...string) (stdout, stderr string, code int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG=")
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else if err != nil {
+		t.Fatal(err)
+	}
+	return out.String(), errs.String(), code
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func TestCheck(t *testing.T) {
+	out, errs, code := program(t, "check", filepath.Join("..", "..", "deploy", "examples", "msgpack-rpc.toml"))
+	if code != 0 || errs != "" || !strings.Contains(out, "is good") || !strings.Contains(out, "64 slots") {
+		t.Errorf("a good file: exit %d, %q, %q", code, out, errs)
+	}
+	bad := write(t, "bad.toml", "[limits]\nsolts = 3\n")
+	out, errs, code = program(t, "check", bad)
+	if want := fmt.Sprintf("mothridge: %s:2: limits.solts is not known: \"slots\" is meant?\n", bad); code != 1 || out != "" || errs != want {
+		t.Errorf("a bad file: exit %d, %q, %q; want %q", code, out, errs, want)
+	}
+}
+
+func TestWrongCommandLine(t *testing.T) {
+	for _, args := range [][]string{{"chekc"}, {"check"}, {"try", "--rate", "0"}, {"try", "--duration", "1s"}, {"try", "--protocol", "grpc"}, {"run", "--operator", "/nonexistent"}} {
+		out, errs, code := program(t, args...)
+		if code != 1 || out != "" || strings.Count(errs, "\n") != 1 || !strings.HasPrefix(errs, "mothridge: ") {
+			t.Errorf("%v: exit %d, %q, %q; want exit 1 and one line", args, code, out, errs)
+		}
+	}
+}
+
+// The real program with an operators' file: a MessagePack-RPC listener and pool.
+func TestRunWithOperatorsFile(t *testing.T) {
+	ledger := peers.NewLedger(false)
+	node, err := peers.StartNode(peers.RPC, "records-01", ledger, peers.Serving)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	discovery, err := peers.StartDiscovery(peers.Host{Host: node.Name, Dial: node.Addr(), Health: "up", Share: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer discovery.Close()
+	addrs := freeAddrs(t, 2)
+	config := write(t, "config.json", `{"name":"n0","listen":"`+addrs[0]+`","discovery":"`+discovery.Addr()+`","seed":"ff",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+		"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","semantics":"single_shot","aim_ms":500,"hard_limit_ms":1000}]}}`)
+	operators := write(t, "mothridge.toml", "[[listener]]\nprotocol = \"msgpack-rpc\"\naddress = \""+addrs[1]+
+		"\"\n[[pool]]\nname = \"records\"\nprotocol = \"msgpack-rpc\"\nhosts = [\"records-*\"]\n")
+	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
+	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range []peers.Protocol{peers.HTTP, peers.RPC} {
+		client := peers.NewClient(p, addrs[i])
+		defer client.Close()
+		var got peers.Result
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			got = client.Do(ctx, peers.Call{ID: fmt.Sprint(p, time.Now().UnixNano()), Class: "a", Unsafe: true, Timeout: time.Second})
+			cancel()
+			if got.Verdict == peers.Served {
+				break
+			}
+		}
+		if got.Verdict != peers.Served {
+			t.Errorf("over %s: %+v", p, got)
+		}
+	}
+	cmd.Process.Signal(os.Interrupt)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v\n%s", err, log.String())
+	}
+}
+
+// freeAddrs finds loopback addresses that nobody listens at.
+func freeAddrs(t *testing.T, n int) []string {
+	t.Helper()
+	addrs := make([]string, n)
+	for i := range addrs {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		addrs[i] = ln.Addr().String()
+	}
+	return addrs
+}
--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -265,8 +266,8 @@
 	case a.fault != nil:
 		return a.fault.Append(b, a.id)
 	case a.core.Verdict == core.Served:
-		for name := range a.core.Fields { // of the hop, or set anew
-			if msgrpc.HopField(name) {
+		for name, values := range a.core.Fields { // of the hop, or what no client could read
+			if msgrpc.HopField(name) || !msgrpc.Plain(name) || slices.ContainsFunc(values, func(v string) bool { return !msgrpc.Plain(v) }) {
 				delete(a.core.Fields, name)
 			}
 		}
--- a/internal/front/rpcfront/front_test.go
+++ b/internal/front/rpcfront/front_test.go
@@ -150,7 +150,7 @@
 	if len(r.Fields) != len(want) {
 		t.Errorf("fields %v", r.Fields)
 	}
-	r.Reply(core.Answer{Verdict: core.Served, Body: []byte("honey"), Fields: map[string][]string{"X-Grade": {"1"}, "Connection": {"close"}}})
+	r.Reply(core.Answer{Verdict: core.Served, Body: []byte("honey"), Fields: map[string][]string{"X-Grade": {"1"}, "Connection": {"close"}, "X-Odd": {"a\x01b"}}})
 	m := c.next(t)
 	got, err := msgrpc.ParseResult(m.Result)
 	if err != nil || m.ID != 9 || m.Fault != nil || string(got.Body) != "honey" || len(got.Fields) != 1 {
--- a/internal/msgrpc/mapping.go
+++ b/internal/msgrpc/mapping.go
@@ -38,7 +38,8 @@
 	MaxBody    = 64 << 10            // of a request
 	MaxRequest = MaxBody + 24<<10    // a whole one
 	MaxAnswer  = 1<<20 + 128<<10     // a whole answer of a node
-	MaxName    = 256                 // of a request's id, class, tenant and key
+	MaxName    = 256                 // of a request's id, class and tenant
+	maxText    = 20 << 10            // of any other text: as much as an HTTP header may hold
 	maxLeft    = float64(3600 * 1e3) // ms
 )
 
@@ -109,13 +110,13 @@
 		case "tenant":
 			c.Tenant, b, err = text(b, MaxName)
 		case "key":
-			c.Key, b, err = text(b, MaxName)
+			c.Key, b, err = text(b, maxText)
 		case "affinity":
-			c.Affinity, b, err = text(b, MaxName)
+			c.Affinity, b, err = text(b, maxText)
 		case "target":
-			c.Target, b, err = text(b, 8<<10)
+			c.Target, b, err = text(b, maxText)
 		case "host":
-			c.Host, b, err = text(b, MaxName)
+			c.Host, b, err = text(b, maxText)
 		case "retry":
 			c.Retry, b, err = msgp.ReadBoolBytes(b)
 		case "left_ms":
@@ -251,7 +252,7 @@
 		case "kind":
 			f.Kind, b, err = text(b, MaxName)
 		case "text":
-			f.Text, b, err = text(b, 4<<10)
+			f.Text, b, err = text(b, maxText)
 		case "pause_ms":
 			var ms float64
 			if ms, b, err = number(b); err == nil && !(ms >= 0) {
@@ -362,13 +363,25 @@
 		return "", b, fmt.Errorf("%d bytes: %d at most", len(raw), most)
 	}
 	for _, c := range raw {
-		if c < ' ' && c != '\t' || c == 0x7f {
+		if control(c) {
 			return "", b, fmt.Errorf("byte %#02x: no control bytes are allowed", c)
 		}
 	}
 	return string(raw), b, nil
 }
 
+func control(c byte) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
+// Plain says whether a text may stand in the mapping: it has no control bytes.
+func Plain(s string) bool {
+	for i := range len(s) {
+		if control(s[i]) {
+			return false
+		}
+	}
+	return len(s) <= maxText
+}
+
 // body reads bytes, also where an encoder without a bin type wrote a string.
 func body(b []byte, most int) ([]byte, []byte, error) {
 	var raw []byte
@@ -437,14 +450,14 @@
 	if err != nil {
 		return nil, b, err
 	}
-	const most = 128
+	const most = 4096
 	if n > most {
 		return nil, b, fmt.Errorf("%d fields: %d at most", n, most)
 	}
-	fields := make(map[string][]string, n)
+	fields := make(map[string][]string, min(n, 32))
 	for range n {
 		var key string
-		if key, b, err = text(b, MaxName); err != nil {
+		if key, b, err = text(b, maxText); err != nil {
 			return nil, b, err
 		}
 		if key == "" || strings.ContainsFunc(key, notToken) {
@@ -464,9 +477,8 @@
 }
 
 func parseValues(b []byte) ([]string, []byte, error) {
-	const most = 8 << 10
 	if msgp.NextType(b) != msgp.ArrayType {
-		v, b, err := text(b, most)
+		v, b, err := text(b, maxText)
 		return []string{v}, b, err
 	}
 	n, b, err := msgp.ReadArrayHeaderBytes(b)
@@ -476,7 +488,7 @@
 	values := make([]string, 0, min(n, 16))
 	for range n {
 		var v string
-		if v, b, err = text(b, most); err != nil {
+		if v, b, err = text(b, maxText); err != nil {
 			return nil, b, err
 		}
 		values = append(values, v)
--- a/internal/rig/bench_test.go
+++ b/internal/rig/bench_test.go
@@ -102,3 +102,17 @@
 		}
 	}
 }
+
+// BenchmarkDefaultSlots shows what the slots derived by default refuse when 64
+// clients ask at once, by the number of nodes that answer at once.
+func BenchmarkDefaultSlots(b *testing.B) {
+	log.SetOutput(io.Discard)
+	for _, nodes := range []int{1, 8} {
+		for _, slots := range []int{0, 64, 128} {
+			b.Run(fmt.Sprintf("nodes=%d/slots=%d", nodes, slots), func(b *testing.B) {
+				r := start(b, Options{Number: nodes, Slots: slots, Sockets: 4096})
+				load(b, r.Addr, r.Front, 64)
+			})
+		}
+	}
+}
--- a/internal/rig/faults_test.go
+++ b/internal/rig/faults_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -120,26 +123,94 @@
 // The same faults over every pairing give the same counts: what a protocol
 // carries is no matter of the decisions. Run with -v for the table.
 func TestFaultsOverAllPairings(t *testing.T) {
-	for _, class := range []string{Read, Entry, Once} {
-		for _, f := range faults {
-			t.Run(class+"/"+f.name, func(t *testing.T) {
-				t.Parallel()
-				var got [4]count
-				var wg sync.WaitGroup
-				for p := range pairings {
-					wg.Go(func() { got[p] = play(t, f, class, p) })
-				}
-				wg.Wait()
-				for p := range pairings {
-					t.Logf("%-28s serv refu fail  oth sends dble\n%-28s %v", "", pairing(p), got[p])
-					if got[p] != got[0] {
-						t.Errorf("%s gives %v, %s gives %v", pairing(p), got[p], pairing(0), got[0])
+	var mu sync.Mutex
+	rows := make(map[string]string)
+	t.Run("faults", func(t *testing.T) {
+		for _, class := range []string{Read, Entry, Once} {
+			for _, f := range faults {
+				t.Run(class+"/"+f.name, func(t *testing.T) {
+					t.Parallel()
+					var got [4]count
+					var wg sync.WaitGroup
+					for p := range pairings {
+						wg.Go(func() { got[p] = play(t, f, class, p) })
 					}
-					if got[p].doubled > 0 {
-						t.Errorf("%s: %d effects ran twice", pairing(p), got[p].doubled)
+					wg.Wait()
+					row := fmt.Sprintf("%-14s %-24s %3d", class, f.name, f.n)
+					for p := range pairings {
+						row += " | " + got[p].String()
+						if got[p] != got[0] {
+							t.Errorf("%s gives %v, %s gives %v", pairing(p), got[p], pairing(0), got[0])
+						}
+						if got[p].doubled > 0 {
+							t.Errorf("%s: %d effects ran twice", pairing(p), got[p].doubled)
+						}
 					}
-				}
-			})
+					mu.Lock()
+					rows[row] = row
+					mu.Unlock()
+				})
+			}
 		}
+	})
+	var table strings.Builder
+	fmt.Fprintf(&table, "\n%-43s", "served, refused, failed, other, sends,")
+	for p := range pairings {
+		fmt.Fprintf(&table, " | %-27s", pairing(p))
+	}
+	fmt.Fprintf(&table, "\n%-43s", "effects that ran twice")
+	for range pairings {
+		fmt.Fprintf(&table, " | %4s %4s %4s %4s %5s %4s ", "serv", "refu", "fail", "oth", "sends", "dble")
+	}
+	for _, row := range slices.Sorted(maps.Keys(rows)) {
+		table.WriteString("\n" + row)
+	}
+	t.Log(table.String())
+}
+
+// Nothing is sent to a node later than 2 s after the news that it drains, nor
+// after it has left, however busy the sidecar is. Counted at the node.
+func TestDrainOverAllPairings(t *testing.T) {
+	for p := range pairings {
+		t.Run(pairing(p), func(t *testing.T) {
+			t.Parallel()
+			r := start(t, Options{Front: pairings[p].front, Nodes: pairings[p].nodes, Number: 3, Times: true, Script: func(peers.Call) peers.Action {
+				return peers.Action{Delay: time.Millisecond}
+			}})
+			clients := []peers.Client{r.Client(), r.Client()}
+			over := make(chan struct{})
+			var wg sync.WaitGroup
+			for w := range 6 {
+				wg.Go(func() {
+					for i := 0; ; i++ {
+						select {
+						case <-over:
+							return
+						default:
+							ask(t, clients[w%2], Request([]string{Read, Entry, Once}[i%3], fmt.Sprintf("%d-%d", w, i), Tenant(i)))
+						}
+					}
+				})
+			}
+			await(t, "each node to be in use", func() bool { return r.Nodes[0].Served() > 20 && r.Nodes[1].Served() > 20 && r.Nodes[2].Served() > 20 })
+			drains, leaves := r.Nodes[0], r.Nodes[1]
+			r.List(drains, "draining", 0)
+			r.List(leaves, "removed", 0)
+			told := time.Now()
+			time.Sleep(DrainWithin + 300*time.Millisecond) // the rule is about time
+			busy := r.Nodes[2].Served()
+			await(t, "the load to go on", func() bool { return r.Nodes[2].Served() > busy+100 })
+			close(over)
+			wg.Wait()
+			for _, c := range clients {
+				c.Close()
+			}
+			for _, n := range []*peers.Node{drains, leaves} {
+				times := r.Ledger.Sends(n.Name)
+				if last := times[len(times)-1]; last.After(told.Add(DrainWithin)) {
+					t.Errorf("%s was sent something %v after the news", n.Name, last.Sub(told))
+				}
+			}
+		})
 	}
 }
