Follow a Eureka registry through a membership module that no source can empty

Need: records nodes will register in a Eureka registry, and a registry that is silent, wrong or partly down must not empty the pool.

Change: membership/ decides, without I/O or a clock, what is known of a node from any number of sources; internal/registry/eureka reads the REST API with its quirks, deltas, hash codes and replicas; internal/registry/merge joins them; the operators' file has [[eureka]], [[static]] and [membership], off by default. A stand-in registry with faults in the test peers.

Open: registration, 'members', the documents of this subsystem.

--- a/internal/archtest/decisions_test.go
+++ b/internal/archtest/decisions_test.go
@@ -14,7 +14,7 @@
 
 // decisions are the packages that decide: the same events give the same
 // decisions, whatever the machine, the time and the network.
-var decisions = []string{"policy"}
+var decisions = []string{"policy", "membership"}
 
 // pure are the imports a decision package may have. None of them does I/O.
 var pure = map[string]bool{
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -93,14 +93,17 @@
 
 // Instance is one entry of the list of servers.
 type Instance struct {
-	Name    string // the same at every sidecar
-	Addr    string // address and port
-	Site    string
-	Kind    string // the machine's kind
-	Cell    *int   // nil: it shares its keys with no other
-	Health  Health
-	Weight  float64
-	Started time.Duration // Unix time of its last start; 0: long ago
+	Name string // the same at every sidecar; never another process's while it is listed
+	Host string // what pools know it by; empty: Name
+	Addr string // address and port
+	Site string
+	Kind string // the machine's kind
+	// Protocol is what its source says that it speaks; empty: its pool does.
+	Protocol string
+	Cell     *int // nil: it shares its keys with no other
+	Health   Health
+	Weight   float64
+	Started  time.Duration // Unix time of its last start; 0: long ago
 }
 
 // Health is what a source says of an instance.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,10 @@
 	Limits    Limits     `toml:"limits"`
 	Listeners []Listener `toml:"listener"`
 	Pools     []Pool     `toml:"pool"`
+
+	Membership Membership `toml:"membership"`
+	Eureka     []Eureka   `toml:"eureka"`
+	Static     []Static   `toml:"static"`
 }
 
 // Limits bound the whole sidecar.
@@ -209,7 +213,7 @@
 			return at, fmt.Errorf("pool %q never gets a node: pool %q before it matches all", p.Name, f.Pools[i-1].Name)
 		}
 	}
-	return "", nil
+	return f.checkSources()
 }
 
 func (p *Pool) everything() bool { return len(p.Hosts)+len(p.Sites)+len(p.Kinds) == 0 }
@@ -224,6 +228,9 @@
 // Summary says in a line what the file sets.
 func (f *File) Summary() string {
 	parts := []string{fmt.Sprintf("%d more listeners", len(f.Listeners)), fmt.Sprintf("%d pools", len(f.Pools))}
+	if f.Merges() {
+		parts = append(parts, fmt.Sprintf("%d Eureka registries", len(f.Eureka)), fmt.Sprintf("%d fixed lists", len(f.Static)))
+	}
 	if f.Limits.Slots > 0 {
 		parts = append(parts, fmt.Sprintf("%d slots", f.Limits.Slots))
 	}
--- /dev/null
+++ b/internal/registry/eureka/eureka_test.go
@@ -0,0 +1,331 @@
+package eureka
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"mothridge/internal/peers"
+	"mothridge/internal/peers/peertest"
+)
+
+func startRegistry(t *testing.T) *peers.Eureka {
+	t.Helper()
+	e, err := peers.StartEureka("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func instance(n int, status string) peers.EurekaInstance {
+	return peers.EurekaInstance{
+		ID: fmt.Sprint("records-", n, ":80"), App: "RECORDS", Host: "127.0.0.1", IP: "127.0.0.1", Port: 7000 + n, VIP: "records",
+		Status: status, Metadata: map[string]string{"zone": "a"},
+	}
+}
+
+// follow polls by hand.
+type follow struct {
+	*Client
+	news []News
+}
+
+func newFollow(t *testing.T, c Config, registries ...*peers.Eureka) *follow {
+	t.Helper()
+	for _, r := range registries {
+		c.Replicas = append(c.Replicas, r.URL())
+	}
+	if c.Timeout == 0 {
+		c.Timeout = 2 * time.Second
+	}
+	f := new(follow)
+	var err error
+	if f.Client, err = NewClient(c, func(n News) { f.news = append(f.news, n) }); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.http.CloseIdleConnections)
+	return f
+}
+
+func (f *follow) next(t *testing.T) News {
+	t.Helper()
+	f.news = nil
+	if err := f.poll(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.news) != 1 {
+		t.Fatalf("%d pieces of news by one poll", len(f.news))
+	}
+	return f.news[0]
+}
+
+// words gives the news in a short form.
+func words(n News) string {
+	var all []string
+	for _, i := range n.Instances {
+		word := strings.TrimSuffix(strings.TrimPrefix(i.ID, "records-"), ":80") + " " + i.Status
+		if !n.Whole {
+			word = i.Action + " " + word
+		}
+		all = append(all, word)
+	}
+	return strings.Join(all, ", ")
+}
+
+func TestWholeThenDeltas(t *testing.T) {
+	for _, asXML := range []bool{false, true} {
+		t.Run(fmt.Sprint("xml=", asXML), func(t *testing.T) {
+			e := startRegistry(t)
+			e.Register(instance(1, "UP"))
+			f := newFollow(t, Config{XML: asXML}, e)
+			n := f.next(t)
+			if !n.Whole || words(n) != "1 UP" {
+				t.Fatalf("first %+v", n)
+			}
+			if i := n.Instances[0]; i.Port != 7001 || i.SecurePort != 0 || i.IP != "127.0.0.1" || i.Metadata["zone"] != "a" || i.Dirty == 0 ||
+				i.Updated == 0 || i.App != "RECORDS" || i.VIP != "records" || i.Override != "UNKNOWN" || (!asXML && i.ServiceUp == 0) {
+				t.Errorf("instance %+v", i)
+			}
+			for _, step := range []struct {
+				do   func()
+				want string
+			}{
+				{func() {}, ""},
+				{func() { e.Register(instance(2, "UP")) }, "ADDED 2 UP"},
+				{func() { e.Override("records-2:80", "OUT_OF_SERVICE") }, "MODIFIED 2 OUT_OF_SERVICE"},
+				{func() { e.Override("records-2:80", "DOWN"); e.Override("records-2:80", "") }, "MODIFIED 2 DOWN, MODIFIED 2 UP"},
+				{func() { e.Cancel("records-1:80") }, "DELETED 1 UP"},
+				{func() { e.Register(instance(1, "STARTING")) }, "ADDED 1 STARTING"},
+				{func() {}, ""},
+			} {
+				step.do()
+				if n := f.next(t); n.Whole || words(n) != step.want {
+					t.Errorf("got %v %q, want %q", n.Whole, words(n), step.want)
+				}
+			}
+			if e.Calls("/apps") != 1 {
+				t.Errorf("the whole list was fetched %d times", e.Calls("/apps"))
+			}
+		})
+	}
+}
+
+// A delta that does not add up brings the whole list.
+func TestHashMismatchFetchesTheWhole(t *testing.T) {
+	e := startRegistry(t)
+	e.Register(instance(1, "UP"))
+	f := newFollow(t, Config{}, e)
+	f.next(t)
+	f.count["UP"] = 7 // as if a change had been missed
+	e.Register(instance(2, "UP"))
+	if n := f.next(t); !n.Whole || words(n) != "1 UP, 2 UP" {
+		t.Errorf("got %v %q", n.Whole, words(n))
+	}
+	e.Fault(peers.WrongHash)
+	if err := f.poll(t.Context()); err == nil || !strings.Contains(err.Error(), "adds up") {
+		t.Errorf("a whole list that does not add up either: %v", err)
+	}
+	e.Fault(peers.NoFault)
+	if n := f.next(t); !n.Whole || words(n) != "1 UP, 2 UP" {
+		t.Errorf("after it %v %q", n.Whole, words(n))
+	}
+}
+
+// Each fault of a registry is an error, or news that membership guards against;
+// the next good fetch goes on.
+func TestFaults(t *testing.T) {
+	for name, fault := range map[string]peers.EurekaFault{
+		"fails": peers.ServerFail, "cut": peers.CutBody, "garbage": peers.Garbage, "silent": peers.Silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := startRegistry(t)
+			e.Register(instance(1, "UP"))
+			f := newFollow(t, Config{Timeout: 200 * time.Millisecond}, e)
+			f.next(t)
+			e.Fault(fault)
+			for range 2 {
+				if err := f.poll(t.Context()); err == nil || strings.Contains(err.Error(), "\n") {
+					t.Errorf("error %v", err)
+				}
+			}
+			if len(f.news) != 1 {
+				t.Errorf("%d pieces of news came of it", len(f.news)-1)
+			}
+			e.Fault(peers.NoFault)
+			f.Client.cfg.Timeout = time.Second
+			if n := f.next(t); n.Whole || len(n.Instances) != 0 {
+				t.Errorf("after it %+v", n)
+			}
+		})
+	}
+}
+
+// Replicas in order, with fail-over and a whole list from each that is turned to.
+func TestFailOver(t *testing.T) {
+	a, b := startRegistry(t), startRegistry(t)
+	for _, e := range []*peers.Eureka{a, b} {
+		e.Register(instance(1, "UP"))
+	}
+	b.Register(instance(2, "UP"))
+	news := make(chan News, 100)
+	c, err := NewClient(Config{Replicas: []string{a.URL(), b.URL()}, Interval: 5 * time.Millisecond, Timeout: time.Second, Seed: 1}, func(n News) { news <- n })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		c.Follow(ctx)
+		close(ended)
+	}()
+	if n := peertest.Await(t, "the first list", news); n.Replica != a.URL() || words(n) != "1 UP" {
+		t.Errorf("got %+v", n)
+	}
+	a.Fault(peers.ServerFail)
+	for {
+		if n := peertest.Await(t, "the other replica's", news); n.Replica == b.URL() {
+			if !n.Whole || words(n) != "1 UP, 2 UP" {
+				t.Errorf("got %+v", n)
+			}
+			break
+		}
+	}
+	b.Close()
+	a.Fault(peers.NoFault)
+	for {
+		if n := peertest.Await(t, "the first replica's again", news); n.Replica == a.URL() {
+			if !n.Whole {
+				t.Errorf("got %+v", n)
+			}
+			break
+		}
+	}
+	cancel()
+	peertest.Await(t, "the end", ended)
+	b.Fault(peers.NoFault)
+}
+
+// Only some apps or VIPs are watched; one that has no instance is no error.
+func TestSome(t *testing.T) {
+	e := startRegistry(t)
+	e.Register(instance(1, "UP"))
+	other := instance(2, "UP")
+	other.App, other.VIP = "OTHER", "other"
+	e.Register(other)
+	third := instance(3, "UP")
+	third.App = "THIRD"
+	e.Register(third)
+	f := newFollow(t, Config{Apps: []string{"records", "none"}, VIPs: []string{"records", "none"}}, e)
+	if n := f.next(t); !n.Whole || words(n) != "1 UP, 3 UP" {
+		t.Errorf("got %v %q", n.Whole, words(n))
+	}
+}
+
+// The quirks of the field, one by one.
+func TestQuirks(t *testing.T) {
+	const head = `{"applications":{"versions__delta":1,"apps__hashcode":"UP_1_","application":`
+	full := Instance{ID: "i", App: "A", Host: "h", IP: "10.0.0.1", Port: 8080, Status: "UP", Updated: 5, Dirty: 4, Metadata: map[string]string{"k": "1"}}
+	for name, text := range map[string]string{
+		"lists": head + `[{"name":"A","instance":[{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":8080,"@enabled":"true"},
+			"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"@class":"x","k":"1"}}]}]}}`,
+		"single elements": head + `{"name":"A","instance":{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":"8080","@enabled":true},
+			"lastUpdatedTimestamp":5,"lastDirtyTimestamp":4,"metadata":{"k":1}}}}}`,
+		"plain port and lower case": head + `{"name":"A","instance":{"app":"A","instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"up","port":8080,
+			"securePort":{"$":443,"@enabled":"false"},"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"k":"1"},"later":[1]}}}}`,
+		"one app": `{"application":{"name":"A","instance":{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":8080},
+			"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"k":"1"}}}}`,
+		"xml": `<?xml version="1.0"?><applications><versions__delta>1</versions__delta><apps__hashcode>UP_1_</apps__hashcode><application><name>A</name><instance>
+			<instanceId>i</instanceId><hostName>h</hostName><ipAddr>10.0.0.1</ipAddr><status>UP</status><port enabled="true">8080</port>
+			<lastUpdatedTimestamp>5</lastUpdatedTimestamp><lastDirtyTimestamp>4</lastDirtyTimestamp><metadata><k>1</k></metadata></instance></application></applications>`,
+	} {
+		parse := ParseJSON
+		if name == "xml" {
+			parse = ParseXML
+		}
+		a, err := parse(strings.NewReader(text))
+		if err != nil || len(a.Instances) != 1 || !reflect.DeepEqual(a.Instances[0], full) {
+			t.Errorf("%s: %+v, %v", name, a, err)
+		}
+	}
+	for name, text := range map[string]string{
+		"no id":        head + `{"name":"A","instance":{"status":"UP"}}}}`,
+		"control byte": head + `{"name":"A","instance":{"instanceId":"a\nb"}}}}`,
+		"long id":      head + `{"name":"A","instance":{"instanceId":"` + strings.Repeat("x", 2000) + `"}}}}`,
+		"no apps":      `{"applications":{"application":[]}}`,
+		"null":         `{"applications":{"application":null}}`,
+	} {
+		if a, err := ParseJSON(strings.NewReader(text)); err != nil || len(a.Instances) != 0 {
+			t.Errorf("%s: %+v, %v", name, a, err)
+		}
+	}
+	for _, text := range []string{"", "null", "[]", `{"x":1}`, `{"applications":{}}x`, `{"applications":7}`, "<applications>"} {
+		if a, err := ParseJSON(strings.NewReader(text)); err == nil {
+			t.Errorf("%q: %+v and no error", text, a)
+		}
+	}
+	odd := head + `{"name":"A","instance":{"instanceId":"räuber/☃ %2F?#","hostName":"h"}}}}`
+	if a, err := ParseJSON(strings.NewReader(odd)); err != nil || len(a.Instances) != 1 || a.Instances[0].ID != "räuber/☃ %2F?#" {
+		t.Errorf("odd characters: %+v, %v", a, err)
+	}
+}
+
+func TestHashCode(t *testing.T) {
+	if got := HashCode(map[string]int{"UP": 3, "DOWN": 1, "STARTING": 0}); got != "DOWN_1_UP_3_" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// An answer of 50 MB is refused by its bound, not read to its end.
+func TestLargeAnswerIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Write([]byte(`{"applications":{"application":[`))
+		one := []byte(`{"name":"` + strings.Repeat("x", 1<<20) + `"},`)
+		for range 50 {
+			if _, err := w.Write(one); err != nil {
+				return
+			}
+		}
+		w.Write([]byte(`{}]}}`))
+	}))
+	defer server.Close()
+	c, err := NewClient(Config{Replicas: []string{server.URL}, MostMB: 4, Timeout: 5 * time.Second}, func(News) { t.Error("it was delivered") })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.poll(t.Context()); err == nil || !strings.Contains(err.Error(), "more than 4 MB") || c.fetched > 6<<20 {
+		t.Errorf("error %v after %d bytes", err, c.fetched)
+	}
+	c.http.CloseIdleConnections()
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"applications":{"application":{"name":"A","instance":{"instanceId":"i","port":{"$":"1","@enabled":"true"},"metadata":{"k":1}}}}}`))
+	f.Add([]byte(`{"application":{"instance":[{"instanceId":"i","status":3,"overriddenstatus":"DOWN"}]}}`))
+	f.Add([]byte(`<applications><application><instance><instanceId>i</instanceId><port enabled="true">1</port><metadata><a>b</a></metadata></instance></application></applications>`))
+	f.Add([]byte(`{"applications":null}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for _, parse := range []func([]byte) (*Applications, error){
+			func(b []byte) (*Applications, error) { return ParseJSON(bytes.NewReader(b)) },
+			func(b []byte) (*Applications, error) { return ParseXML(bytes.NewReader(b)) },
+		} {
+			a, err := parse(text)
+			if err != nil {
+				continue
+			}
+			for _, i := range a.Instances {
+				if i.ID == "" || strings.ContainsAny(i.ID+i.Status, "\n\x00") || i.Port < 0 || i.Port > 65535 || len(i.Metadata) > maxMetadata {
+					t.Errorf("instance %+v", i)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/registry/merge/merge.go
@@ -0,0 +1,203 @@
+// Package merge runs the membership module: it takes what the sources tell, in
+// one goroutine, and hands the merged view on to the core.
+package merge
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"mothridge/internal/core"
+	"mothridge/internal/registry/eureka"
+	"mothridge/membership"
+)
+
+// Merger merges sources. Its methods may be called concurrently.
+type Merger struct {
+	set    *membership.Set
+	update func(core.News)
+	begin  time.Time
+	events chan func(now time.Duration)
+	reason []string // why each source is not trusted, as it was logged last
+
+	cells    map[string]int
+	nextCell int
+}
+
+// firstCell is above any cell that a source numbers itself.
+const firstCell = 1 << 20
+
+// tick is how often what ends by itself is looked at.
+const tick = 500 * time.Millisecond
+
+// New makes a Merger of a Set; update takes the merged view's changes, in order.
+func New(set *membership.Set, update func(core.News)) *Merger {
+	return &Merger{
+		set: set, update: update, begin: time.Now(), events: make(chan func(time.Duration), 16),
+		reason: make([]string, len(set.Sources())), cells: make(map[string]int), nextCell: firstCell,
+	}
+}
+
+// clock runs monotonically and began at Unix time, as starts are told in that.
+func (m *Merger) clock() time.Duration {
+	return time.Duration(m.begin.UnixNano()) + time.Since(m.begin)
+}
+
+// Run merges until ctx ends.
+func (m *Merger) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case e := <-m.events:
+			e(m.clock())
+		case <-t.C:
+			m.tell(m.set.Tick(m.clock()))
+		case <-ctx.Done():
+			return
+		}
+		m.report()
+	}
+}
+
+// report logs when a source is distrusted, and when it is trusted again.
+func (m *Merger) report() {
+	for i, s := range m.set.Sources() {
+		if s.Reason == m.reason[i] {
+			continue
+		}
+		if s.Reason == "" {
+			slog.Info("membership: source trusted again", "source", s.Name)
+		} else if m.reason[i] == "" {
+			slog.Warn("membership: source not trusted", "source", s.Name, "reason", s.Reason)
+		}
+		m.reason[i] = s.Reason
+	}
+}
+
+// tell hands changes on.
+func (m *Merger) tell(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	n := core.News{Instances: make([]core.Instance, 0, len(changes))}
+	for _, c := range changes {
+		i := core.Instance{
+			Name: c.Key, Host: c.Name, Addr: c.Addr, Site: c.Site, Kind: c.Kind, Protocol: c.Protocol, Weight: c.Weight, Started: c.Started,
+			Cell: m.cell(c.Cell),
+		}
+		switch c.State {
+		case membership.Ready:
+			i.Health = core.Up
+		case membership.Gone:
+			i.Health = core.Removed
+		}
+		n.Instances = append(n.Instances, i)
+	}
+	m.update(n)
+}
+
+// cell numbers a cell by its name. A number that a source gives is its own.
+func (m *Merger) cell(name string) *int {
+	if name == "" {
+		return nil
+	}
+	if n, err := strconv.Atoi(name); err == nil && n >= 0 && n < firstCell {
+		return &n
+	}
+	n, ok := m.cells[name]
+	if !ok {
+		n = m.nextCell
+		m.nextCell++
+		m.cells[name] = n
+	}
+	return &n
+}
+
+// Platform takes what the platform's discovery tells, as source number.
+func (m *Merger) Platform(number int, news core.News) {
+	m.events <- func(now time.Duration) {
+		var whole []membership.Instance
+		var deltas []membership.Delta
+		for _, i := range news.Instances {
+			x := membership.Instance{ID: i.Name, Name: i.Name, Addr: i.Addr, Site: i.Site, Kind: i.Kind, Weight: i.Weight, Started: i.Started}
+			if i.Cell != nil {
+				x.Cell = strconv.Itoa(*i.Cell)
+			}
+			switch i.Health {
+			case core.Draining:
+				x.Status = membership.OutOfService
+			case core.Removed:
+				deltas = append(deltas, membership.Delta{Op: membership.Delete, Instance: x})
+				continue
+			}
+			whole = append(whole, x)
+			deltas = append(deltas, membership.Delta{Instance: x})
+		}
+		if !news.Whole {
+			m.tell(m.set.Delta(now, number, "", deltas))
+			return
+		}
+		changes, err := m.set.Whole(now, number, "", whole)
+		if err != nil {
+			slog.Warn("membership: list refused, the last one stays", "err", err)
+		}
+		m.tell(changes)
+	}
+}
+
+// Eureka takes what a Eureka registry tells, as source number, by a mapping.
+func (m *Merger) Eureka(number int, mapping Mapping, news eureka.News) {
+	list := make([]membership.Delta, 0, len(news.Instances))
+	for i := range news.Instances {
+		if d, ok := mapping.instance(&news.Instances[i]); ok {
+			list = append(list, d)
+		}
+	}
+	m.events <- func(now time.Duration) {
+		if !news.Whole {
+			m.tell(m.set.Delta(now, number, news.Replica, list))
+			return
+		}
+		whole := make([]membership.Instance, len(list))
+		for i := range list {
+			whole[i] = list[i].Instance
+		}
+		changes, err := m.set.Whole(now, number, news.Replica, whole)
+		if err != nil {
+			slog.Warn("membership: list refused, the last one stays", "err", err)
+		}
+		m.tell(changes)
+	}
+}
+
+// Static takes a list that does not change, as source number.
+func (m *Merger) Static(number int, list []membership.Instance) {
+	m.events <- func(now time.Duration) {
+		changes, err := m.set.Whole(now, number, "", list)
+		if err != nil {
+			slog.Warn("membership: list refused", "err", err)
+		}
+		m.tell(changes)
+	}
+}
+
+// View is the merged view and how the sources do, as of now.
+func (m *Merger) View(ctx context.Context) (members []membership.Member, sources []membership.SourceState, now time.Duration) {
+	done := make(chan struct{})
+	select {
+	case m.events <- func(at time.Duration) {
+		members, sources, now = m.set.Members(), m.set.Sources(), at
+		close(done)
+	}:
+	case <-ctx.Done():
+		return nil, nil, 0
+	}
+	select {
+	case <-done:
+		return members, sources, now
+	case <-ctx.Done():
+		return nil, nil, 0
+	}
+}
--- /dev/null
+++ b/internal/rig/eureka_test.go
@@ -0,0 +1,235 @@
+package rig
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"mothridge/internal/operator"
+	"mothridge/internal/peers"
+)
+
+// withEureka starts a rig whose nodes are listed by a Eureka registry alone.
+func withEureka(t *testing.T, e *peers.Eureka, o Options) *Rig {
+	t.Helper()
+	o.Bare, o.Times = true, true
+	no := false
+	o.Operators = func(f *operator.File) {
+		f.Membership = operator.Membership{Platform: &no, Silent: "2s"}
+		f.Eureka = []operator.Eureka{{
+			Name: "eureka", Replicas: []string{e.URL()}, Interval: "50ms", Timeout: "1s",
+			Metadata: operator.Metadata{Site: "zone", Protocol: "protocol", Weight: "weight", Cell: "cell"},
+		}}
+	}
+	r := start(t, o)
+	for _, n := range r.Nodes {
+		e.Register(eurekaInstance(r, n, n.Name, "UP"))
+	}
+	client := r.Client()
+	defer client.Close()
+	await(t, "the list to be in force", func() bool {
+		served := 0
+		for _, n := range r.Nodes {
+			client.Do(t.Context(), Request(Read, fmt.Sprint("first-", time.Now().UnixNano()), "north"))
+			if n.Served() > 0 {
+				served++
+			}
+		}
+		return served == len(r.Nodes)
+	})
+	return r
+}
+
+func eurekaInstance(r *Rig, n *peers.Node, id, status string) peers.EurekaInstance {
+	var host string
+	var port int
+	fmt.Sscanf(n.Addr(), "127.0.0.1:%d", &port)
+	host = "127.0.0.1"
+	return peers.EurekaInstance{
+		ID: id, App: "RECORDS", Host: host, IP: host, Port: port, Status: status,
+		Metadata: map[string]string{"zone": "a", "protocol": string(r.protocol), "weight": "1", "cell": "1"},
+	}
+}
+
+func startEureka(t *testing.T) *peers.Eureka {
+	t.Helper()
+	e, err := peers.StartEureka("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// Under load the registry flips states at random, falls silent, answers with
+// nothing and loses half of its instances: no request reaches a drained node
+// more than 2 s after the sidecar could hear of it, the pool is never empty, no
+// request is lost and no effect doubled.
+func TestEurekaFlipsUnderLoad(t *testing.T) {
+	for p, pair := range pairings {
+		if pair.front == peers.HTTP != (pair.nodes == peers.HTTP) {
+			continue // both protocols are played, and that is enough here
+		}
+		t.Run(pairing(p), func(t *testing.T) {
+			t.Parallel()
+			e := startEureka(t)
+			r := withEureka(t, e, Options{Front: pair.front, Nodes: pair.nodes, Number: 6, Slots: 120, Open: 200, Script: func(peers.Call) peers.Action {
+				return peers.Action{Delay: 2 * time.Millisecond}
+			}})
+			seed := uint64(time.Now().UnixNano())
+			rng := rand.New(rand.NewPCG(seed, 4))
+			t.Logf("seed %d", seed)
+			over := make(chan struct{})
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			verdicts := make(map[peers.Verdict]int)
+			refusals := 0 // in a row, over all
+			worst := 0
+			client := r.Client()
+			defer client.Close()
+			for w := range 8 {
+				wg.Go(func() {
+					for i := 0; ; i++ {
+						select {
+						case <-over:
+							return
+						default:
+						}
+						got := ask(t, client, Request([]string{Read, Entry, Once}[i%3], fmt.Sprintf("%d-%d", w, i), Tenant(i)))
+						mu.Lock()
+						verdicts[got.Verdict]++
+						if refusals++; got.Verdict == peers.Served {
+							refusals = 0
+						}
+						worst = max(worst, refusals)
+						mu.Unlock()
+					}
+				})
+			}
+			drained := make(map[int]time.Time)
+			type period struct{ from, to time.Time }
+			periods := make(map[int][]period)
+			until := time.Now().Add(5 * time.Second)
+			if *long {
+				until = time.Now().Add(time.Minute)
+			}
+			for time.Now().Before(until) {
+				switch x := rng.IntN(12); {
+				case x == 0:
+					e.Fault([]peers.EurekaFault{peers.EmptyList, peers.ServerFail, peers.CutBody, peers.Garbage, peers.Silent}[rng.IntN(5)])
+					time.Sleep(150 * time.Millisecond)
+					e.Fault(peers.NoFault)
+				default:
+					i := rng.IntN(len(r.Nodes) - 1) // one always stays in service
+					if from, is := drained[i]; is {
+						if time.Since(from) < DrainWithin+700*time.Millisecond {
+							break
+						}
+						e.Override(r.Nodes[i].Name, "")
+						periods[i] = append(periods[i], period{from, time.Now()})
+						delete(drained, i)
+					} else if len(drained) < 3 {
+						e.Override(r.Nodes[i].Name, "OUT_OF_SERVICE")
+						drained[i] = time.Now()
+					}
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			for i, from := range drained {
+				periods[i] = append(periods[i], period{from, time.Now()})
+			}
+			close(over)
+			wg.Wait()
+			late, checked := 0, 0
+			for i, all := range periods {
+				for _, p := range all {
+					// It hears of it within a poll; a fault of the registry's puts that off by 150 ms and a time-out of 1 s.
+					told := p.from.Add(DrainWithin + 200*time.Millisecond)
+					for _, at := range r.Ledger.Sends(r.Nodes[i].Name) {
+						if at.After(told) && at.Before(p.to) {
+							late++
+						}
+					}
+					checked++
+				}
+			}
+			t.Logf("served %d, refused %d, failed %d; %d drains, %d sends too late; %d answers in a row at most were not served",
+				verdicts[peers.Served], verdicts[peers.Refused], verdicts[peers.Failed], checked, late, worst)
+			if late > 0 || checked == 0 {
+				t.Errorf("%d sends reached a drained node too late, of %d drains", late, checked)
+			}
+			if verdicts[peers.Served] < 1000 || verdicts[peers.Refused]+verdicts[peers.Failed] > verdicts[peers.Served]/50 || worst > 30 {
+				t.Errorf("verdicts %v, %d in a row not served: was the pool empty?", verdicts, worst)
+			}
+			for _, what := range r.Ledger.Doubled(func(string) bool { return true }) {
+				t.Error(what)
+			}
+		})
+	}
+}
+
+// A registry that goes silent, or answers with nothing, leaves the pool as it was.
+func TestEurekaSilentKeepsThePool(t *testing.T) {
+	e := startEureka(t)
+	r := withEureka(t, e, Options{Number: 3})
+	client := r.Client()
+	defer client.Close()
+	for _, fault := range []peers.EurekaFault{peers.EmptyList, peers.Silent} {
+		e.Fault(fault)
+		calls := e.Calls("/apps") + e.Calls("/apps/delta")
+		if fault == peers.EmptyList {
+			await(t, "polls in vain", func() bool { return e.Calls("/apps")+e.Calls("/apps/delta") > calls+5 })
+		} else {
+			time.Sleep(2500 * time.Millisecond) // over silent_after
+		}
+		for i := range 30 {
+			if got := ask(t, client, Request(Once, fmt.Sprint(fault, "-", i), Tenant(i))); got.Verdict != peers.Served {
+				t.Errorf("fault %d: %+v", fault, got)
+			}
+		}
+		e.Fault(peers.NoFault)
+	}
+}
+
+// A node registers again under a new id at its old address while work that it
+// had taken still runs: that work ends and counts, the connections of the old
+// process carry nothing of the new one's.
+func TestEurekaNewIDAtTheSameAddress(t *testing.T) {
+	for p, pair := range pairings {
+		if pair.front == peers.HTTP != (pair.nodes == peers.HTTP) {
+			continue
+		}
+		t.Run(pairing(p), func(t *testing.T) {
+			t.Parallel()
+			e := startEureka(t)
+			r := withEureka(t, e, Options{Front: pair.front, Nodes: pair.nodes, Number: 1})
+			client := r.Client()
+			defer client.Close()
+			n := r.Nodes[0]
+			n.Play(func(c peers.Call) peers.Action {
+				if c.ID == "old" {
+					return peers.Action{Delay: 400 * time.Millisecond} // within its aim
+				}
+				return peers.Action{}
+			})
+			before := n.Accepted()
+			old := make(chan peers.Result, 1)
+			go func() { old <- ask(t, client, Request(Once, "old", "north")) }()
+			await(t, "the old work", func() bool { return n.InFlight() == 1 })
+			e.Register(eurekaInstance(r, n, n.Name+"-again", "UP"))
+			e.Cancel(n.Name)
+			await(t, "the new one's connection", func() bool {
+				client.Do(t.Context(), Request(Read, fmt.Sprint("n-", time.Now().UnixNano()), "north"))
+				return n.Accepted() > before
+			})
+			if got := <-old; got.Verdict != peers.Served || string(got.Body) != "old" {
+				t.Errorf("the old work: %+v", got)
+			}
+			if got := ask(t, client, Request(Once, "new", "north")); got.Verdict != peers.Served {
+				t.Errorf("the new one: %+v", got)
+			}
+		})
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -176,9 +176,10 @@
 	return known
 }
 
-// known is the list as last held, in the core's terms.
+// known is the list as last held, in the core's terms. Where sources are merged
+// it goes to the merger.
 func (c *Config) known() *core.News {
-	if c.Known == nil {
+	if c.Known == nil || c.Operator.Merges() {
 		return nil
 	}
 	n := c.Known.News()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -102,11 +103,10 @@
 		end()
 		loops.Wait()
 	}()
-	d := platform.New(c.Discovery, c.Known, k.Update)
-	if c.Policy.AskList {
-		d.Ask(k.Asks(), k.UpdateFailed)
+	d, err := c.follow(run, k, &loops)
+	if err != nil {
+		return err
 	}
-	go d.Follow(run)
 	loops.Go(func() { k.Run(run) })
 	go sweep(run, transports)
 
@@ -126,7 +126,7 @@
 			was := c.Discovery
 			if err := c.reload(); err != nil {
 				slog.Error("configuration: the old one stays in force", "err", err)
-			} else if c.Discovery != was {
+			} else if c.Discovery != was && d != nil {
 				d.Move(c.Discovery)
 			}
 		}
@@ -180,7 +180,11 @@
 	}
 	return func(i core.Instance) core.Node {
 		for n := range c.Operator.Pools {
-			if c.Operator.Pools[n].Matches(i.Name, i.Site, i.Kind) {
+			p := &c.Operator.Pools[n]
+			if i.Protocol != "" && i.Protocol != string(p.Protocol) {
+				continue // its source says otherwise
+			}
+			if p.Matches(cmp.Or(i.Host, i.Name), i.Site, i.Kind) {
 				return ofPool[n].Node(i.Addr)
 			}
 		}
--- /dev/null
+++ b/internal/sidecar/sources.go
@@ -0,0 +1,107 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"mothridge/internal/core"
+	"mothridge/internal/operator"
+	"mothridge/internal/registry/eureka"
+	"mothridge/internal/registry/merge"
+	"mothridge/internal/registry/platform"
+	"mothridge/membership"
+)
+
+// follow starts to follow the sources of the list. Where the platform's
+// discovery is the only one its news go to the core as they come; else the
+// membership module merges them. It returns the platform's, if that is one.
+func (c *Config) follow(ctx context.Context, k *core.Core, loops *sync.WaitGroup) (*platform.Discovery, error) {
+	update := k.Update
+	o := &c.Operator
+	if o.Merges() {
+		m, err := c.merger(k)
+		if err != nil {
+			return nil, err
+		}
+		loops.Go(func() { m.Run(ctx) })
+		number := 0
+		if o.Membership.UsesPlatform() {
+			number++
+			if c.Known != nil {
+				m.Platform(0, c.Known.News())
+			}
+			update = func(n core.News) { m.Platform(0, n) }
+		}
+		if err := c.followOthers(ctx, m, number, loops); err != nil {
+			return nil, err
+		}
+		if !o.Membership.UsesPlatform() {
+			return nil, nil
+		}
+	}
+	d := platform.New(c.Discovery, c.Known, update)
+	if c.Policy.AskList {
+		d.Ask(k.Asks(), k.UpdateFailed)
+	}
+	go d.Follow(ctx)
+	return d, nil
+}
+
+// merger makes the one for the sources of the operators' file.
+func (c *Config) merger(k *core.Core) (*merge.Merger, error) {
+	o := &c.Operator
+	var sources []membership.Source
+	if o.Membership.UsesPlatform() {
+		sources = append(sources, membership.Source{Name: "platform"})
+	}
+	for _, e := range o.Eureka {
+		sources = append(sources, membership.Source{Name: e.Name, Polled: true})
+	}
+	for _, s := range o.Static {
+		sources = append(sources, membership.Source{Name: s.Name})
+	}
+	b := &o.Membership
+	set, err := membership.New(membership.Config{
+		MaxLoss: b.MaxLoss, LossWindow: b.Window.Value(), HoldFor: b.HoldFor.Value(), SilentAfter: b.Silent.Value(),
+		TombstoneFor: b.Tombstone.Value(), Settle: b.Settle.Value(), FreshFor: b.Fresh.Value(), MostNodes: int(b.Most),
+	}, sources...)
+	if err != nil {
+		return nil, err
+	}
+	return merge.New(set, k.Update), nil
+}
+
+// followOthers starts those of the operators' file; number is the first one's.
+func (c *Config) followOthers(ctx context.Context, m *merge.Merger, number int, loops *sync.WaitGroup) error {
+	for i := range c.Operator.Eureka {
+		e, source := &c.Operator.Eureka[i], number
+		number++
+		mapping := merge.Mapping{
+			Site: e.Metadata.Site, Kind: e.Metadata.Kind, Cell: e.Metadata.Cell, Weight: e.Metadata.Weight,
+			Protocol: e.Metadata.Protocol, Started: e.Metadata.Started, Secure: e.Secure,
+		}
+		client, err := eureka.NewClient(eureka.Config{
+			Replicas: slices.Clone(e.Replicas), Apps: e.Apps, VIPs: e.VIPs, XML: e.Format == "xml",
+			Interval: e.Interval.Value(), Timeout: e.Timeout.Value(), MostMB: int(e.MostMB), Seed: c.Seed + uint64(i),
+		}, func(n eureka.News) { m.Eureka(source, mapping, n) })
+		if err != nil {
+			return fmt.Errorf("registry %s: %w", e.Name, err)
+		}
+		loops.Go(func() { client.Follow(ctx) })
+	}
+	for i := range c.Operator.Static {
+		m.Static(number, staticList(&c.Operator.Static[i]))
+		number++
+	}
+	return nil
+}
+
+func staticList(s *operator.Static) []membership.Instance {
+	list := make([]membership.Instance, 0, len(s.Nodes))
+	for _, addr := range s.Nodes {
+		list = append(list, membership.Instance{ID: addr, Name: s.Name + "/" + addr, Addr: addr, Site: s.Site, Kind: s.Kind, Weight: 1})
+	}
+	return list
+}
