Register with Eureka, show the merged list, and play with a stand-in registry

Need: operators must see why a node is or is not used, and try the registry before they rely on it.

A registry that is back is asked again within two intervals.

--- a/cmd/mothridge/commands.go
+++ b/cmd/mothridge/commands.go
@@ -17,9 +17,11 @@
 
 // commands are the operators' commands.
 type commands struct {
-	Run   runCommand   `cmd:"" help:"Run the sidecar. The platform's variables (ROUTER_CONFIG and others) must be set."`
-	Check checkCommand `cmd:"" help:"Check an operators' file and say what it sets."`
-	Try   tryCommand   `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
+	Run     runCommand     `cmd:"" help:"Run the sidecar. The platform's variables (ROUTER_CONFIG and others) must be set."`
+	Check   checkCommand   `cmd:"" help:"Check an operators' file and say what it sets."`
+	Try     tryCommand     `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
+	Members membersCommand `cmd:"" help:"Ask a running sidecar for its merged list of nodes, with the reason for each state."`
+	Standin standinCommand `cmd:"" help:"Run a stand-in for an outside system, to play with."`
 }
 
 type runCommand struct {
@@ -45,6 +47,7 @@
 
 type tryCommand struct {
 	Protocol string        `enum:"http,rpc" default:"http" help:"What clients and nodes speak: http or rpc (MessagePack-RPC)."`
+	Registry string        `enum:"platform,eureka" default:"platform" help:"Where the list comes from: platform or eureka (a stand-in registry)."`
 	Duration time.Duration `default:"15s" help:"How long the day lasts, at least 4s."`
 	Rate     int           `default:"200" help:"Requests a second."`
 	Seed     uint64        `default:"1" help:"The same seed asks the same requests."`
@@ -61,6 +64,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	o := try.Options{Protocol: peers.HTTP, Duration: c.Duration, Rate: c.Rate, Seed: c.Seed, Out: os.Stdout}
+	o.Eureka = c.Registry == "eureka"
 	if c.Protocol == "rpc" {
 		o.Protocol = peers.RPC
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 
 // File is the operators' file.
 type File struct {
+	Admin     Admin      `toml:"admin"`
 	Limits    Limits     `toml:"limits"`
 	Listeners []Listener `toml:"listener"`
 	Pools     []Pool     `toml:"pool"`
@@ -26,6 +27,11 @@
 	Static     []Static   `toml:"static"`
 }
 
+// Admin is how the operators' commands reach the running sidecar.
+type Admin struct {
+	Socket string `toml:"socket"` // path of a Unix socket; empty: there is none
+}
+
 // Limits bound the whole sidecar.
 type Limits struct {
 	// Slots is how many requests may be out at once, over all tenants, in place
@@ -93,6 +99,9 @@
 // Count is a number of 0 or more; 0 stands for the default.
 type Count int
 
+// maxSocket is what a Unix socket's address holds (unix(7)), less the final 0.
+const maxSocket = 107
+
 // maxCount is above whatever could be meant.
 const maxCount = 1 << 30
 
@@ -149,6 +158,9 @@
 
 // check looks at what one value alone cannot tell; where names the value at fault.
 func (f *File) check() (where string, err error) {
+	if len(f.Admin.Socket) > maxSocket {
+		return "admin.socket", fmt.Errorf("socket is a path of %d bytes: a Unix socket's has %d at most", len(f.Admin.Socket), maxSocket)
+	}
 	if where, err := checkCount("limits.slots", f.Limits.Slots); err != nil {
 		return where, err
 	}
--- a/internal/operator/sources.go
+++ b/internal/operator/sources.go
@@ -52,7 +52,7 @@
 type Register struct {
 	App      string            `toml:"app"`
 	VIP      string            `toml:"vip"`
-	Host     string            `toml:"host"` // empty: the address of the platform's listener
+	Address  Address           `toml:"address"` // empty: the platform's listener
 	Renew    Duration          `toml:"renew"`
 	Metadata map[string]string `toml:"metadata"`
 }
@@ -162,6 +162,9 @@
 	if where, err := checkCount(at+".most_mb", e.MostMB); err != nil {
 		return where, err
 	}
+	if err := e.Register.Address.check(); err != nil {
+		return at + ".register.address", err
+	}
 	return checkDurations(at+".", map[string]Duration{"interval": e.Interval, "timeout": e.Timeout, "register.renew": e.Register.Renew})
 }
 
--- a/internal/peers/eureka.go
+++ b/internal/peers/eureka.go
@@ -78,6 +78,7 @@
 	version   int
 	calls     map[string]int // by the kind of path
 	bytes     int64          // written
+	told      []time.Time    // when a good answer to a fetch was on its way
 	preserve  bool           // self-preservation: no eviction while too many leases run out
 }
 
@@ -162,6 +163,13 @@
 	return e.preserve
 }
 
+// Told gives the times at which good answers to fetches were written.
+func (e *Eureka) Told() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.told)
+}
+
 // Instance gives what it holds under an id.
 func (e *Eureka) Instance(id string) (EurekaInstance, bool) {
 	e.mu.Lock()
@@ -320,6 +328,9 @@
 	}
 	if text != nil {
 		e.bytes += int64(len(text))
+		if fault == NoFault || fault == Slow {
+			e.told = append(e.told, time.Now())
+		}
 	}
 	e.mu.Unlock()
 	if text == nil {
--- a/internal/registry/eureka/client.go
+++ b/internal/registry/eureka/client.go
@@ -42,7 +42,8 @@
 
 const (
 	// After a round of all replicas in vain the next one waits, twice as long
-	// each time; spread, so that sidecars do not come back as one.
+	// each time up to two intervals: more than that spares a registry nothing that
+	// it does not bear on a good day. Spread, so that sidecars do not come back as one.
 	firstPause = 500 * time.Millisecond
 	lastPause  = 30 * time.Second
 )
@@ -134,7 +135,7 @@
 			c.held = nil // what another replica holds is to be read whole
 			if wait = 0; failures%len(c.cfg.Replicas) == 0 {
 				wait = c.spread(pause)
-				pause = min(2*pause, lastPause)
+				pause = min(2*pause, max(firstPause, 2*c.cfg.Interval), lastPause)
 			}
 		}
 		t := time.NewTimer(wait)
--- a/internal/registry/merge/merge.go
+++ b/internal/registry/merge/merge.go
@@ -183,21 +183,25 @@
 	}
 }
 
-// View is the merged view and how the sources do, as of now.
-func (m *Merger) View(ctx context.Context) (members []membership.Member, sources []membership.SourceState, now time.Duration) {
-	done := make(chan struct{})
+// View is the merged view and how the sources do, as of Now.
+type View struct {
+	Now     time.Duration // Unix time
+	Members []membership.Member
+	Sources []membership.SourceState
+}
+
+// View looks at it as it is now.
+func (m *Merger) View(ctx context.Context) (*View, error) {
+	seen := make(chan *View, 1)
 	select {
-	case m.events <- func(at time.Duration) {
-		members, sources, now = m.set.Members(), m.set.Sources(), at
-		close(done)
-	}:
+	case m.events <- func(now time.Duration) { seen <- &View{now, m.set.Members(), m.set.Sources()} }:
 	case <-ctx.Done():
-		return nil, nil, 0
+		return nil, ctx.Err()
 	}
 	select {
-	case <-done:
-		return members, sources, now
+	case v := <-seen:
+		return v, nil
 	case <-ctx.Done():
-		return nil, nil, 0
+		return nil, ctx.Err()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -103,10 +103,20 @@
 		end()
 		loops.Wait()
 	}()
-	d, err := c.follow(run, k, &loops)
+	d, m, err := c.follow(run, k, &loops)
 	if err != nil {
 		return err
 	}
+	closeAdmin, err := c.administer(m, &loops)
+	if err != nil {
+		return err
+	}
+	defer closeAdmin()
+	leave, left := context.WithCancel(stop) // whatever ends the service ends registrations
+	defer left()
+	if err := c.register(leave, k, &loops); err != nil {
+		return err
+	}
 	loops.Go(func() { k.Run(run) })
 	go sweep(run, transports)
 
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -1,11 +1,14 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"sync"
 
+	"mothridge/internal/admin"
 	"mothridge/internal/core"
 	"mothridge/internal/operator"
 	"mothridge/internal/registry/eureka"
@@ -17,13 +20,14 @@
 // follow starts to follow the sources of the list. Where the platform's
 // discovery is the only one its news go to the core as they come; else the
 // membership module merges them. It returns the platform's, if that is one.
-func (c *Config) follow(ctx context.Context, k *core.Core, loops *sync.WaitGroup) (*platform.Discovery, error) {
+func (c *Config) follow(ctx context.Context, k *core.Core, loops *sync.WaitGroup) (*platform.Discovery, *merge.Merger, error) {
 	update := k.Update
 	o := &c.Operator
+	var m *merge.Merger
 	if o.Merges() {
-		m, err := c.merger(k)
-		if err != nil {
-			return nil, err
+		var err error
+		if m, err = c.merger(k); err != nil {
+			return nil, nil, err
 		}
 		loops.Go(func() { m.Run(ctx) })
 		number := 0
@@ -35,10 +39,10 @@
 			update = func(n core.News) { m.Platform(0, n) }
 		}
 		if err := c.followOthers(ctx, m, number, loops); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if !o.Membership.UsesPlatform() {
-			return nil, nil
+			return nil, m, nil
 		}
 	}
 	d := platform.New(c.Discovery, c.Known, update)
@@ -46,7 +50,48 @@
 		d.Ask(k.Asks(), k.UpdateFailed)
 	}
 	go d.Follow(ctx)
-	return d, nil
+	return d, m, nil
+}
+
+// register starts to register the sidecar where the operators' file says so.
+// leave ends the registrations.
+func (c *Config) register(leave context.Context, k *core.Core, loops *sync.WaitGroup) error {
+	for i := range c.Operator.Eureka {
+		e := &c.Operator.Eureka[i]
+		if e.Register.App == "" {
+			continue
+		}
+		r, err := eureka.NewRegistrar(eureka.Registration{
+			Replicas: slices.Clone(e.Replicas), App: e.Register.App, VIP: e.Register.VIP, Addr: cmp.Or(string(e.Register.Address), c.Listen),
+			Metadata: e.Register.Metadata, Renew: e.Register.Renew.Value(), Timeout: e.Timeout.Value(), Ready: k.Ready,
+		})
+		if err != nil {
+			return fmt.Errorf("registry %s: %w", e.Name, err)
+		}
+		loops.Go(func() { r.Run(leave) })
+	}
+	return nil
+}
+
+// administer opens the socket that the operators' commands ask at, if there is one.
+func (c *Config) administer(m *merge.Merger, loops *sync.WaitGroup) (end func(), err error) {
+	if c.Operator.Admin.Socket == "" {
+		return func() {}, nil
+	}
+	questions := make(map[string]admin.Question)
+	if m != nil {
+		questions["members"] = func(ctx context.Context) (any, error) { return m.View(ctx) }
+	}
+	s, err := admin.Listen(c.Operator.Admin.Socket, questions)
+	if err != nil {
+		return nil, err
+	}
+	loops.Go(func() {
+		if err := s.Serve(); err != nil {
+			slog.Error("admin", "err", err)
+		}
+	})
+	return s.Close, nil
 }
 
 // merger makes the one for the sources of the operators' file.
--- a/internal/try/try.go
+++ b/internal/try/try.go
@@ -22,6 +22,7 @@
 type Options struct {
 	Protocol peers.Protocol // of clients and nodes
 	Duration time.Duration  // at least Shortest
+	Eureka   bool           // a stand-in Eureka registry lists the nodes
 	Rate     int            // requests a second
 	Seed     uint64
 	Out      io.Writer
@@ -78,7 +79,16 @@
 	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	defer slog.SetDefault(log)
 	d := &day{Options: o, byNode: make(map[string]*tally)}
-	r, err := rig.Start(rig.Options{Front: o.Protocol, Nodes: o.Protocol, Number: nodes, Script: d.script, Times: true})
+	ro := rig.Options{Front: o.Protocol, Nodes: o.Protocol, Number: nodes, Script: d.script, Times: true}
+	if o.Eureka {
+		e, err := peers.StartEureka("")
+		if err != nil {
+			return err
+		}
+		defer e.Close()
+		ro.Eureka = e
+	}
+	r, err := rig.Start(ro)
 	if err != nil {
 		return err
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -98,6 +98,8 @@
 	Ready
 )
 
+func (s State) String() string { return [...]string{"gone", "draining", "ready"}[s] }
+
 // Change is the new view of one node.
 type Change struct {
 	Key      string // names this process at this address; never used for another
