Apply a delta of one at one cost, whatever the list holds

Cause: clearing the map of changed nodes cost as much as the longest list it had held, and the core looked at every host for each delta.

Change: changed nodes are a list; the core looks at those that a delta names.

--- /dev/null
+++ b/cmd/mothridge/members_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"mothridge/internal/peers"
+)
+
+// The real program follows a registry, registers with it, and tells its members.
+func TestMembersOfARunningSidecar(t *testing.T) {
+	e, err := peers.StartEureka("")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	e.Register(peers.EurekaInstance{ID: "records-01", App: "RECORDS", Host: "127.0.0.1", IP: "127.0.0.1", Port: 1, Status: "UP"})
+	e.Register(peers.EurekaInstance{ID: "records-02", App: "RECORDS", Host: "127.0.0.1", IP: "127.0.0.1", Port: 2, Status: "UP", Override: "OUT_OF_SERVICE"})
+	dir := t.TempDir()
+	socket := filepath.Join(dir, "admin")
+	addr := freeAddrs(t, 1)[0]
+	config := write(t, "config.json", `{"name":"n0","listen":"`+addr+`","discovery":"127.0.0.1:1","seed":"ff",
+		"limits":{"cores":1.0,"memory_mb":192,"sockets":256},
+		"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}}`)
+	operators := write(t, "mothridge.toml", "[admin]\nsocket = \""+socket+"\"\n[membership]\nplatform = false\n[[eureka]]\nname = \"records\"\nreplicas = [\""+
+		e.URL()+"\"]\napps = [\"RECORDS\"]\ninterval = \"20ms\"\nregister.app = \"mothridge\"\nregister.renew = \"100ms\"\n")
+	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
+	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	id := "127.0.0.1:mothridge:" + addr[strings.LastIndexByte(addr, ':')+1:]
+	var out, errs string
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		var code int
+		out, errs, code = program(t, "members", socket)
+		if i, _ := e.Instance(id); code == 0 && strings.Contains(out, "records-02") && i.Status == "UP" {
+			break
+		}
+	}
+	for _, want := range []string{"records-01  ready", "records-02  draining", "OUT_OF_SERVICE by records", "UP by records"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not told:\n%s%s%s", want, out, errs, log.String())
+		}
+	}
+	if i, _ := e.Instance(id); i.Status != "UP" {
+		t.Errorf("registered as %+v", i)
+	}
+	cmd.Process.Signal(os.Interrupt)
+	var exit *exec.ExitError
+	if err := cmd.Wait(); errors.As(err, &exit) {
+		t.Errorf("ended with %v\n%s", err, log.String())
+	}
+	if _, there := e.Instance(id); there {
+		t.Error("it is still registered after its end")
+	}
+	if _, err := os.Stat(socket); err == nil {
+		t.Error("the socket was left behind")
+	}
+}
+
+func TestStandinIsForLoopback(t *testing.T) {
+	_, errs, code := program(t, "standin", "eureka", "--address", "0.0.0.0:0")
+	if code != 1 || !strings.Contains(errs, "loopback") {
+		t.Errorf("exit %d, %q", code, errs)
+	}
+	out, errs, code := program(t, "standin", "eureka", "--address", "127.0.0.1:0", "--duration", "50ms")
+	if code != 0 || !strings.Contains(out, "/eureka/v2/apps") || errs != "" {
+		t.Errorf("exit %d, %q, %q", code, out, errs)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -308,11 +308,17 @@
 		}
 	}
 	l.b.List(l.now, kind, servers)
-	for name, h := range l.hosts {
-		if h.entry.Health == Removed || (kind != policy.ListDelta && !named[name]) {
-			delete(l.hosts, name)
-			delete(l.byID, h.id)
-			h.node.Retire()
+	if kind == policy.ListDelta { // at the cost of what changed, not of the list
+		for _, e := range news.Instances {
+			if h := l.hosts[e.Name]; h != nil && h.entry.Health == Removed {
+				l.forget(e.Name, h)
+			}
+		}
+	} else {
+		for name, h := range l.hosts {
+			if h.entry.Health == Removed || !named[name] {
+				l.forget(name, h)
+			}
 		}
 	}
 	l.forgetSites()
@@ -321,6 +327,12 @@
 	}
 }
 
+func (l *Core) forget(name string, h *host) {
+	delete(l.hosts, name)
+	delete(l.byID, h.id)
+	h.node.Retire()
+}
+
 // forgetSites lets go of the sites that the settings do not name and no host is at any more.
 func (l *Core) forgetSites() {
 	if len(l.sites) <= len(l.config.Zones)+len(l.hosts) {
--- a/internal/peers/eureka.go
+++ b/internal/peers/eureka.go
@@ -163,6 +163,13 @@
 	return e.preserve
 }
 
+// Forget lets the changes go that a delta would repeat, as if time had passed.
+func (e *Eureka) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue = nil
+}
+
 // Told gives the times at which good answers to fetches were written.
 func (e *Eureka) Told() []time.Time {
 	e.mu.Lock()
--- a/internal/rig/eureka_test.go
+++ b/internal/rig/eureka_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -121,6 +122,7 @@
 			close(over)
 			wg.Wait()
 			late, checked := 0, 0
+			var lags []time.Duration // from the registry's change to the last send
 			for i, all := range periods {
 				for _, p := range all {
 					// It hears of it by the first good answer; a while is for that to be written and read.
@@ -135,16 +137,24 @@
 					if heard == p.to {
 						continue // it never heard
 					}
+					lag := time.Duration(0)
 					for _, at := range r.Ledger.Sends(r.Nodes[i].Name) {
 						if at.After(told) && at.Before(p.to) {
 							late++
 						}
+						if at.After(p.from) && at.Before(p.to) {
+							lag = at.Sub(p.from)
+						}
 					}
+					lags = append(lags, lag)
 					checked++
 				}
 			}
 			t.Logf("served %d, refused %d, failed %d; %d drains, %d sends too late; %d answers in a row at most were not served",
 				verdicts[peers.Served], verdicts[peers.Refused], verdicts[peers.Failed], checked, late, worst)
+			if slices.Sort(lags); len(lags) > 0 {
+				t.Logf("from the registry's change to the last send, polled every 50 ms: median %v, worst %v", lags[len(lags)/2], lags[len(lags)-1])
+			}
 			if late > 0 || checked == 0 {
 				t.Errorf("%d sends reached a drained node too late, of %d drains", late, checked)
 			}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -139,6 +139,7 @@
 	damped   bool
 	freshTo  time.Duration // no cell until then
 	replaced int           // processes that the address had
+	touched  bool          // it is among Set.changed
 }
 
 // source is what is known of a source as a whole.
@@ -169,8 +170,8 @@
 	cfg       Config
 	sources   []*source
 	nodes     map[string]*node
-	processes int // that took an address over, for keys
-	changed   map[string]bool
+	processes int             // that took an address over, for keys
+	changed   []*node         // looked at anew when an event ends
 	timed     map[string]bool // nodes with something that ends by itself
 	ready     int
 }
@@ -203,7 +204,7 @@
 			*d.field = d.absent
 		}
 	}
-	s := &Set{cfg: cfg, nodes: make(map[string]*node), changed: make(map[string]bool), timed: make(map[string]bool)}
+	s := &Set{cfg: cfg, nodes: make(map[string]*node), timed: make(map[string]bool)}
 	for _, src := range sources {
 		s.sources = append(s.sources, &source{name: src.Name, polled: src.Polled, records: make(map[string]*record)})
 	}
@@ -315,7 +316,7 @@
 	if moved {
 		n.claims = append(n.claims, r)
 	}
-	s.changed[i.Addr] = true
+	s.touch(i.Addr)
 }
 
 // stale says whether news are older than what is held. A stricter status is
@@ -390,7 +391,8 @@
 		src.live--
 	}
 	r.deleted, r.lost, r.since, r.doubted = true, false, now, nil
-	s.changed[r.Addr], s.timed[r.Addr] = true, true
+	s.touch(r.Addr)
+	s.timed[r.Addr] = true
 }
 
 // hold keeps an instance that its source has lost together with too many others.
@@ -402,14 +404,24 @@
 	src.live--
 	src.lost++
 	src.reason = fmt.Sprintf("lost %d of %d at once: held", src.lost, src.lost+src.live)
-	s.changed[r.Addr], s.timed[r.Addr] = true, true
+	s.touch(r.Addr)
+	s.timed[r.Addr] = true
 }
 
 // release takes a record off its address.
 func (s *Set) release(r *record) {
 	if n := s.nodes[r.Addr]; n != nil {
 		n.claims = slices.DeleteFunc(n.claims, func(x *record) bool { return x == r })
-		s.changed[r.Addr] = true
+		s.touch(r.Addr)
+	}
+}
+
+// touch has a node looked at anew. It is no map: clearing one costs as much as
+// the most that it ever held.
+func (s *Set) touch(addr string) {
+	if n := s.nodes[addr]; n != nil && !n.touched {
+		n.touched = true
+		s.changed = append(s.changed, n)
 	}
 }
 
@@ -459,7 +471,7 @@
 	if n.damped || now < n.freshTo {
 		again = true
 	}
-	s.changed[n.addr] = true
+	s.touch(n.addr)
 	if !again {
 		delete(s.timed, n.addr)
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -9,18 +9,23 @@
 	"time"
 )
 
+// keptChanges is how much room for changes is kept.
+const keptChanges = 256
+
 // settle tells what has changed in the view.
 func (s *Set) settle(now time.Duration) []Change {
 	if len(s.changed) == 0 {
 		return nil
 	}
 	var out []Change
-	for _, addr := range slices.Sorted(maps.Keys(s.changed)) {
-		if n := s.nodes[addr]; n != nil {
-			out = s.view(now, n, out)
-		}
+	slices.SortFunc(s.changed, func(a, b *node) int { return strings.Compare(a.addr, b.addr) })
+	for _, n := range s.changed {
+		n.touched = false
+		out = s.view(now, n, out)
+	}
+	if s.changed = s.changed[:0]; cap(s.changed) > keptChanges {
+		s.changed = nil
 	}
-	clear(s.changed)
 	if s.ready == 0 { // better one that flaps than none
 		for _, addr := range slices.Sorted(maps.Keys(s.timed)) {
 			if n := s.nodes[addr]; n != nil && n.damped && s.ready == 0 {
