Make two tests of the MessagePack-RPC front fail without their guard

Cause: with the write deadline or the count of bad messages taken out, the tests still passed: another guard ended the connection, or a time-out of the test's own was taken for its end.

--- a/internal/front/rpcfront/front_test.go
+++ b/internal/front/rpcfront/front_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -318,6 +320,28 @@
 	})
 }
 
+// One that asks for little, but does not read what it gets, is not waited for either.
+func TestUnreadAnswersAreNotHeld(t *testing.T) {
+	k := newHolding()
+	f := startFront(t, Config{Open: 64}, k)
+	c := dial(t, f)
+	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	for i := range 32 { // more than the buffers of both sides hold
+		c.ask(uint32(i), nil)
+	}
+	for range 32 {
+		peertest.Await(t, "a request", k.taken).Reply(core.Answer{Verdict: core.Served, Body: make([]byte, 1<<20)})
+	}
+	waitFor(t, "the connection's end", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.conns) == 0
+	})
+	if n := f.Counters().Stalled; n != 1 {
+		t.Errorf("%d connections count as stalled, want 1", n)
+	}
+}
+
 // A client that leaves with 100 open: the core hears of each.
 func TestClientLeavesWithManyOpen(t *testing.T) {
 	k := newHolding()
@@ -478,13 +502,19 @@
 func TestManyBadMessagesEndTheConnection(t *testing.T) {
 	c := dial(t, startFront(t, Config{}, newHolding()))
 	io.WriteString(c, strings.Repeat("\x94\x01\x01\xc0\xc0", strikesOut))
-	for range strikesOut {
-		if _, err := c.read(); err != nil {
-			return
+	told := 0
+	for {
+		_, err := c.read()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("after %d bad messages it goes on", strikesOut)
+		}
+		if err != nil {
+			break
 		}
+		told++
 	}
-	if m, err := c.read(); err == nil {
-		t.Errorf("after %d bad messages it goes on with %+v", strikesOut, m)
+	if told > strikesOut {
+		t.Errorf("told of %d, %d were sent", told, strikesOut)
 	}
 }
 
