--- a/internal/front/rpcfront/front_test.go
+++ b/internal/front/rpcfront/front_test.go
@@ -323,7 +323,7 @@
 // One that asks for little, but does not read what it gets, is not waited for either.
 func TestUnreadAnswersAreNotHeld(t *testing.T) {
 	k := newHolding()
-	f := startFront(t, Config{Open: 64}, k)
+	f := startFront(t, Config{Open: 64, Held: 64 << 20}, k)
 	c := dial(t, f)
 	c.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 	for i := range 32 { // more than the buffers of both sides hold
