Read a registry's list as a stream, an instance at a time

Change: the answer is read token by token. 100,000 deltas in one answer are tested, and the resident memory of the whole program is measured.

--- a/cmd/mothridge/members_test.go
+++ b/cmd/mothridge/members_test.go
@@ -3,14 +3,19 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"mothridge/internal/admin"
 	"mothridge/internal/peers"
+	"mothridge/internal/registry/merge"
 )
 
 // The real program follows a registry, registers with it, and tells its members.
@@ -78,3 +83,79 @@
 		t.Errorf("exit %d, %q, %q", code, out, errs)
 	}
 }
+
+// BenchmarkResident starts the real program on a registry of so many instances
+// and reports its resident memory once it holds them all.
+func BenchmarkResident(b *testing.B) {
+	for _, n := range []int{0, 100, 1000, 10000} {
+		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(float64(resident(b, n)), "rss-kB")
+			}
+		})
+	}
+}
+
+// resident gives the resident memory of the program, in kB.
+func resident(b *testing.B, n int) int {
+	b.Helper()
+	e, err := peers.StartEureka("")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer e.Close()
+	for i := range n {
+		e.Register(peers.EurekaInstance{
+			ID: fmt.Sprint("records-", i), App: "RECORDS", Host: "127.0.0.1", IP: fmt.Sprintf("127.1.%d.%d", i>>8, i&255), Port: 80, Status: "UP",
+			Metadata: map[string]string{"zone": "a", "weight": "1"},
+		})
+	}
+	dir := b.TempDir()
+	socket, config, operators := filepath.Join(dir, "admin"), filepath.Join(dir, "config.json"), filepath.Join(dir, "mothridge.toml")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	sources := ""
+	if n > 0 {
+		sources = "[membership]\nplatform = false\n[[eureka]]\nname = \"records\"\nreplicas = [\"" + e.URL() + "\"]\ninterval = \"1s\"\ntimeout = \"20s\"\n"
+	}
+	for path, text := range map[string]string{
+		config: `{"name":"n0","listen":"` + addr + `","discovery":"127.0.0.1:1","seed":"ff","limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+			"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}}`,
+		operators: "[admin]\nsocket = \"" + socket + "\"\n" + sources,
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			b.Fatal(err)
+		}
+	}
+	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
+	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	}()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var v merge.View
+		err := admin.Ask(b.Context(), socket, "members", &v)
+		if err == nil && len(v.Members) == n || n == 0 && err != nil && strings.Contains(err.Error(), "not turned on") {
+			break
+		}
+	}
+	time.Sleep(2500 * time.Millisecond) // some polls, and what was needed for the list is let go
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(text), "VmRSS:")
+	kB, err := strconv.Atoi(strings.Fields(after)[0])
+	if err != nil {
+		b.Fatal(err)
+	}
+	return kB
+}
--- a/internal/registry/eureka/eureka_test.go
+++ b/internal/registry/eureka/eureka_test.go
@@ -329,3 +329,31 @@
 		}
 	})
 }
+
+// A hundred thousand deltas in one answer: taken in bounded time where they fit
+// the bounds, refused whole where they do not; what is held stays right.
+func TestManyDeltas(t *testing.T) {
+	f := newFollow(t, Config{Replicas: []string{"http://127.0.0.1:1"}})
+	f.take(&Applications{Instances: []Instance{{ID: "i0", Status: "UP", Dirty: 1}}})
+	f.news = nil
+	a := &Applications{}
+	for i := range maxInstances {
+		a.Instances = append(a.Instances, Instance{ID: fmt.Sprint("i", i%1000), Status: "UP", Action: "MODIFIED", Dirty: int64(2 + i)})
+	}
+	a.Hash = "UP_1000_"
+	if !f.apply(a) || len(f.news) != 1 || len(f.news[0].Instances) != maxInstances || len(f.held) != 1000 {
+		t.Fatalf("%d pieces of news, %d held", len(f.news), len(f.held))
+	}
+	if !f.apply(a) || len(f.news[1].Instances) != 0 {
+		t.Error("the same deltas again are news")
+	}
+	var text strings.Builder
+	text.WriteString(`{"applications":{"application":{"name":"A","instance":[{"instanceId":"x"}`)
+	for range maxInstances {
+		text.WriteString(`,{"instanceId":"x"}`)
+	}
+	text.WriteString(`]}}}`)
+	if _, err := ParseJSON(strings.NewReader(text.String())); err == nil || !strings.Contains(err.Error(), "more than 100000 instances") {
+		t.Errorf("one more than the bound: %v", err)
+	}
+}
--- a/internal/registry/eureka/wire.go
+++ b/internal/registry/eureka/wire.go
@@ -60,26 +60,6 @@
 	return b.String()
 }
 
-// many is a list that the registry writes as its one element where it has one.
-type many[T any] []T
-
-func (m *many[T]) UnmarshalJSON(text []byte) error {
-	text = bytes.TrimSpace(text)
-	switch {
-	case len(text) == 0 || string(text) == "null" || string(text) == `""`:
-		*m = nil
-		return nil
-	case text[0] == '[':
-		return json.Unmarshal(text, (*[]T)(m))
-	}
-	var one T
-	if err := json.Unmarshal(text, &one); err != nil {
-		return err
-	}
-	*m = many[T]{one}
-	return nil
-}
-
 // word is a text that may also be written as a number or a boolean.
 type word string
 
@@ -209,37 +189,189 @@
 }
 
 type wireApplications struct {
-	XMLName xml.Name              `json:"-" xml:"applications"`
-	Version word                  `json:"versions__delta" xml:"versions__delta"`
-	Hash    word                  `json:"apps__hashcode" xml:"apps__hashcode"`
-	Apps    many[wireApplication] `json:"application" xml:"application"`
+	Version string            `xml:"versions__delta"`
+	Hash    string            `xml:"apps__hashcode"`
+	Apps    []wireApplication `xml:"application"`
 }
 
 type wireApplication struct {
-	Name      word               `json:"name" xml:"name"`
-	Instances many[wireInstance] `json:"instance" xml:"instance"`
+	Name      string         `xml:"name"`
+	Instances []wireInstance `xml:"instance"`
 }
 
-// ParseJSON reads an answer: {"applications": …}, or {"application": …} for one app.
+// ParseJSON reads an answer: {"applications": …}, or {"application": …} for one
+// app. It reads it as a stream, an instance at a time, so that a long list takes
+// little more memory than what is made of it. A list of one may be written as
+// its element.
 func ParseJSON(r io.Reader) (*Applications, error) {
-	var w struct {
-		All *wireApplications `json:"applications"`
-		One *wireApplication  `json:"application"`
-	}
-	d := json.NewDecoder(r)
-	if err := d.Decode(&w); err != nil {
+	p := &jsonReader{d: json.NewDecoder(r), a: new(Applications)}
+	if err := p.answer(); err != nil {
 		return nil, fmt.Errorf("registry's answer: %w", err)
 	}
-	if _, err := d.Token(); err != io.EOF {
-		return nil, errors.New("registry's answer: something comes behind it")
+	return p.a, nil
+}
+
+type jsonReader struct {
+	d     *json.Decoder
+	a     *Applications
+	found bool
+}
+
+func (p *jsonReader) answer() error {
+	err := p.list(func(opened bool) error {
+		if !opened {
+			return errors.New("an object is meant, not a list")
+		}
+		return p.fields(func(key string) error {
+			switch key {
+			case "applications":
+				return p.list(p.applications)
+			case "application":
+				return p.list(p.application)
+			}
+			return p.skip()
+		})
+	})
+	if err != nil {
+		return err
 	}
-	switch {
-	case w.All != nil:
-		return w.All.gather()
-	case w.One != nil:
-		return (&wireApplications{Apps: many[wireApplication]{*w.One}}).gather()
+	if _, err := p.d.Token(); err != io.EOF {
+		return errors.New("something comes behind it")
+	}
+	if !p.found {
+		return errors.New("it holds neither applications nor an application")
+	}
+	return nil
+}
+
+// list reads a list by its elements, or the one element that stands in its
+// place; one is told whether that element's object is open already. Null and an
+// empty text stand for no element.
+func (p *jsonReader) list(one func(opened bool) error) error {
+	t, err := p.d.Token()
+	if err != nil {
+		return err
+	}
+	switch t {
+	case json.Delim('{'):
+		return one(true)
+	case json.Delim('['):
+		for p.d.More() {
+			if err := one(false); err != nil {
+				return err
+			}
+		}
+		_, err := p.d.Token()
+		return err
+	case nil, "":
+		return nil
+	}
+	return fmt.Errorf("%.40v: an object or a list is meant", t)
+}
+
+// fields reads an object that is open to its end.
+func (p *jsonReader) fields(field func(key string) error) error {
+	for p.d.More() {
+		t, err := p.d.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := t.(string)
+		if err := field(key); err != nil {
+			return fmt.Errorf("%.40s: %w", key, err)
+		}
 	}
-	return nil, errors.New("registry's answer: it holds neither applications nor an application")
+	_, err := p.d.Token()
+	return err
+}
+
+func (p *jsonReader) skip() error {
+	var any json.RawMessage
+	return p.d.Decode(&any)
+}
+
+// open reads the beginning of an object that is not open yet.
+func (p *jsonReader) open(opened bool) error {
+	if opened {
+		return nil
+	}
+	t, err := p.d.Token()
+	if err == nil && t != json.Delim('{') {
+		err = fmt.Errorf("%.40v: an object is meant", t)
+	}
+	return err
+}
+
+func (p *jsonReader) applications(opened bool) error {
+	if err := p.open(opened); err != nil {
+		return err
+	}
+	p.found = true
+	return p.fields(func(key string) error {
+		var w word
+		switch key {
+		case "versions__delta":
+			err := p.d.Decode(&w)
+			p.a.Version = string(w)
+			return err
+		case "apps__hashcode":
+			err := p.d.Decode(&w)
+			p.a.Hash = string(w)
+			return err
+		case "application":
+			return p.list(p.application)
+		}
+		return p.skip()
+	})
+}
+
+func (p *jsonReader) application(opened bool) error {
+	if err := p.open(opened); err != nil {
+		return err
+	}
+	p.found = true
+	var name word
+	first := len(p.a.Instances)
+	err := p.fields(func(key string) error {
+		switch key {
+		case "name":
+			return p.d.Decode(&name)
+		case "instance":
+			return p.list(p.instance)
+		}
+		return p.skip()
+	})
+	for i := range p.a.Instances[first:] { // the name may come behind them
+		if x := &p.a.Instances[first+i]; x.App == "" {
+			x.App = string(name)
+		}
+	}
+	return err
+}
+
+func (p *jsonReader) instance(opened bool) error {
+	var w wireInstance
+	if !opened {
+		if err := p.d.Decode(&w); err != nil {
+			return err
+		}
+		return p.a.add(&w, "")
+	}
+	known := map[string]any{
+		"instanceId": &w.ID, "hostName": &w.Host, "app": &w.App, "ipAddr": &w.IP, "vipAddress": &w.VIP, "status": &w.Status,
+		"overriddenStatus": &w.Override, "overriddenstatus": &w.Override2, "port": &w.Port, "securePort": &w.Secure,
+		"actionType": &w.Action, "lastUpdatedTimestamp": &w.Updated, "lastDirtyTimestamp": &w.Dirty, "metadata": &w.Metadata, "leaseInfo": &w.Lease,
+	}
+	err := p.fields(func(key string) error {
+		if into := known[key]; into != nil {
+			return p.d.Decode(into)
+		}
+		return p.skip()
+	})
+	if err != nil {
+		return err
+	}
+	return p.a.add(&w, "")
 }
 
 // ParseXML reads the same as XML.
@@ -261,7 +393,7 @@
 		case "application":
 			var one wireApplication
 			err = d.DecodeElement(&one, &start)
-			w.Apps = many[wireApplication]{one}
+			w.Apps = []wireApplication{one}
 		default:
 			err = fmt.Errorf("element %.40q", start.Name.Local)
 		}
@@ -272,24 +404,31 @@
 	}
 }
 
-// gather takes the instances over; one of which too little can be made is left
-// out, and spoils no other.
+// gather takes the instances of an XML answer over.
 func (w *wireApplications) gather() (*Applications, error) {
-	a := &Applications{Version: string(w.Version), Hash: string(w.Hash)}
+	a := &Applications{Version: w.Version, Hash: w.Hash}
 	for i := range w.Apps {
-		app := &w.Apps[i]
-		if len(a.Instances)+len(app.Instances) > maxInstances {
-			return nil, fmt.Errorf("registry's answer: more than %d instances", maxInstances)
-		}
-		for j := range app.Instances {
-			if one, ok := app.Instances[j].instance(string(app.Name)); ok {
-				a.Instances = append(a.Instances, one)
+		for j := range w.Apps[i].Instances {
+			if err := a.add(&w.Apps[i].Instances[j], w.Apps[i].Name); err != nil {
+				return nil, fmt.Errorf("registry's answer: %w", err)
 			}
 		}
 	}
 	return a, nil
 }
 
+// add takes an instance over; one of which too little can be made is left out,
+// and spoils no other.
+func (a *Applications) add(w *wireInstance, app string) error {
+	if len(a.Instances) == maxInstances {
+		return fmt.Errorf("more than %d instances", maxInstances)
+	}
+	if one, ok := w.instance(app); ok {
+		a.Instances = append(a.Instances, one)
+	}
+	return nil
+}
+
 func (w *wireInstance) instance(app string) (Instance, bool) {
 	i := Instance{
 		ID: string(w.ID), App: string(w.App), Host: string(w.Host), IP: string(w.IP), VIP: string(w.VIP),
