Deregister also when the end comes while a registration is under way

Cause: a registration whose answer had not come when the process was told to end counted as none, and the lease was left to run out.

Change: whoever has tried to register leaves.

Result: the test of it failed once under -race and passes five times now.

--- a/internal/registry/eureka/register.go
+++ b/internal/registry/eureka/register.go
@@ -79,7 +79,7 @@
 // service and deregisters, within half a second.
 func (r *Registrar) Run(leave context.Context) {
 	defer r.http.CloseIdleConnections()
-	status, failed := "", false
+	status, failed, tried := "", false, false
 	for leave.Err() == nil {
 		want := "STARTING"
 		if r.cfg.Ready() {
@@ -87,6 +87,7 @@
 		}
 		var err error
 		if status != want {
+			tried = true // it may be registered from here on, whatever comes back
 			err = r.register(leave, want)
 		} else if err = r.call(leave, http.MethodPut, "/"+url.PathEscape(r.id)+"?status="+status, nil); errors.Is(err, statusError(http.StatusNotFound)) {
 			slog.Info("eureka: the lease has run out, registering again", "id", r.id)
@@ -118,7 +119,7 @@
 		}
 		t.Stop()
 	}
-	if status != "" {
+	if tried {
 		r.leave()
 	}
 }
