Close a connection that owes too many answers when nobody waits on it

The test of it asserted less than it said.

Change: it is closed there, as docs/protocol/msgpack-rpc.md has it. Tests: eight such connections in a row and a node that recovers; one request over every bound ends at once as never run. A map of times in place of one of structs, and one count of what still runs.

--- a/internal/transport/rpcnode/conn.go
+++ b/internal/transport/rpcnode/conn.go
@@ -35,9 +35,6 @@
 	done  chan reply // takes the one reply
 }
 
-// ghost is an id whose attempt was given up and whose answer may still come.
-type ghost struct{ runsTo time.Time }
-
 // conn is one connection to a node. The reader and the writer are its two goroutines.
 type conn struct {
 	node *node
@@ -47,7 +44,7 @@
 	mu        sync.Mutex
 	next      uint32
 	open      map[uint32]*exchange // waited for
-	ghosts    map[uint32]ghost     // given up, and not answered
+	ghosts    map[uint32]time.Time // given up and not answered, and until when they count as running
 	queue     []*exchange          // to be written, in order
 	cancels   []uint32             // ids to be cancelled
 	heard     time.Time            // when the last message came
@@ -60,7 +57,7 @@
 	now := time.Now()
 	return &conn{
 		node: n, nc: nc, wake: make(chan struct{}, 1), heard: now, used: now,
-		open: make(map[uint32]*exchange), ghosts: make(map[uint32]ghost),
+		open: make(map[uint32]*exchange), ghosts: make(map[uint32]time.Time),
 	}
 }
 
@@ -80,6 +77,7 @@
 	}
 	if len(c.ghosts) > 0 && len(c.open)+c.runningLocked(now) >= c.node.t.cfg.Outstanding || len(c.ghosts) >= c.node.t.cfg.Reserved {
 		c.condemnLocked()
+		c.settleLocked() // with nobody waiting on it nothing else would end it
 		return false
 	}
 	return true
@@ -88,8 +86,8 @@
 // runningLocked counts the given-up attempts that the node may still work on.
 func (c *conn) runningLocked(now time.Time) int {
 	n := 0
-	for _, g := range c.ghosts {
-		if now.Before(g.runsTo) {
+	for _, runsTo := range c.ghosts {
+		if now.Before(runsTo) {
 			n++
 		}
 	}
@@ -156,7 +154,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		until = d
 	}
-	c.ghosts[x.id] = ghost{runsTo: until.Add(runsOn)}
+	c.ghosts[x.id] = until.Add(runsOn)
 	c.cancels = append(c.cancels, x.id)
 	c.signal()
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && c.heard.Before(x.sent) {
@@ -215,13 +213,8 @@
 func (c *conn) closeIfIdle(now time.Time, idleFor time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, g := range c.ghosts { // only what may still run keeps it from being idle
-		if now.Before(g.runsTo) {
-			return
-		}
-		_ = id
-	}
-	if len(c.open) == 0 && c.err == nil && now.Sub(c.used) >= idleFor {
+	// Of what was given up only what may still run keeps it from being idle.
+	if len(c.open) == 0 && c.runningLocked(now) == 0 && c.err == nil && now.Sub(c.used) >= idleFor {
 		c.err = errIdle
 		c.signal()
 	}
--- a/internal/transport/rpcnode/transport_test.go
+++ b/internal/transport/rpcnode/transport_test.go
@@ -344,43 +344,78 @@
 }
 
 // A node that hangs and ignores what it is asked to cancel: what runs on there
-// is bounded, on a connection and on the node, and what comes beyond that ends
-// at once as never run rather than pile up.
+// is bounded on a connection; one that owes too much is closed when nobody waits
+// on it any more, so that a node which recovers is reached again at once.
 func TestHangIsBounded(t *testing.T) {
 	r := newRaw(t)
 	tr := testTransport(Config{Outstanding: 8})
 	n := r.node(tr)
-	for range perNode {
+	var last *rawConn
+	for round := range 2 * perNode {
 		for i := range 8 {
 			ctx, cancel := context.WithCancel(t.Context())
 			out := try(ctx, n, fmt.Sprint(i))
 			if i == 0 {
 				conn := peertest.Await(t, "a connection", r.conns)
-				go func() {
-					for range conn.cancels {
-					}
-				}()
-				waitFor(t, "the request", func() bool { return len(conn.calls) > 0 })
-			} else {
-				waitFor(t, "the request", func() bool {
-					n.mu.Lock()
-					c := n.conns[len(n.conns)-1]
-					n.mu.Unlock()
-					c.mu.Lock()
-					defer c.mu.Unlock()
-					return len(c.open) == 1 && len(c.queue) == 0
-				})
+				if last != nil {
+					peertest.Await(t, fmt.Sprint("the end of connection ", round), last.ended)
+				}
+				last = conn
 			}
+			peertest.Await(t, "the request", last.calls)
 			cancel()
 			if e := peertest.Await(t, "the end", out); e.ending != policy.Cancelled {
 				t.Fatalf("ending %v, want cancelled", e.ending)
 			}
 		}
-		// The connection owes eight answers: it takes nothing more, and ends.
 	}
 	if c := tr.Counters(); c.Condemned < perNode-1 {
 		t.Errorf("%d connections were given up, want %d or more", c.Condemned, perNode-1)
 	}
+	recovered := try(t.Context(), n, "recovered")
+	conn := peertest.Await(t, "a connection to the node that recovered", r.conns)
+	got := peertest.Await(t, "the request", conn.calls)
+	conn.serve(got.msgID, "ok")
+	if e := peertest.Await(t, "its answer", recovered); e.ending != policy.Served {
+		t.Errorf("ending %v, want served", e.ending)
+	}
+}
+
+// Where every connection that a node may have is full of requests that are waited
+// for, one more ends at once as never run: it does not pile up behind them.
+func TestBeyondEveryBoundNeverRan(t *testing.T) {
+	r := newRaw(t)
+	n := r.node(testTransport(Config{Outstanding: 8}))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var all []<-chan ended
+	for i := range 8 * perNode {
+		all = append(all, try(ctx, n, fmt.Sprint(i)))
+		waitFor(t, "it to be out", func() bool {
+			n.mu.Lock()
+			conns := append([]*conn(nil), n.conns...)
+			n.mu.Unlock()
+			out := 0
+			for _, c := range conns {
+				c.mu.Lock()
+				out += len(c.open)
+				c.mu.Unlock()
+			}
+			return out == i+1
+		})
+	}
+	if e := peertest.Await(t, "the end of one more", try(t.Context(), n, "more")); e.ending != policy.NoConnection {
+		t.Errorf("one more: ending %v, want no connection", e.ending)
+	}
+	if len(r.conns) != perNode {
+		t.Errorf("%d connections, want %d", len(r.conns), perNode)
+	}
+	cancel()
+	for _, out := range all {
+		if e := peertest.Await(t, "an end", out); e.ending != policy.Cancelled && e.ending != policy.NotSent {
+			t.Errorf("ending %v", e.ending)
+		}
+	}
 }
 
 // Where nothing at all comes from a node its next request goes out on a new
