Rebuild the Eureka stand-in and reader by a table of the API, both formats alike

Need: clients that nobody here wrote could not use the stand-in. XML and numbers written as texts were answered 400, single apps and instances had the wrong root, metadata were null, leaseInfo and dataCenterInfo were missing, and half of the API was not there. The reader needed a content type that is right, and took whatever one value held.

The reader goes a token at a time in both formats (jsontext, encoding/xml), sees the format by the first byte, refuses document types, and holds 64 KiB at most between one value and the next. Metadata that no mapping uses are not kept.

--- a/cmd/mothridge/members.go
+++ b/cmd/mothridge/members.go
@@ -78,10 +78,10 @@
 	e.Lease(c.Lease)
 	fmt.Printf("a stand-in Eureka registry at %s for %v\n\n", e.URL(), c.Duration)
 	fmt.Printf("register   curl -X POST -H 'Content-Type: application/json' %s/apps/RECORDS -d \\\n", e.URL())
-	fmt.Println(`             '{"instance":{"instanceId":"r1","hostName":"127.0.0.1","app":"RECORDS","ipAddr":"127.0.0.1","status":"UP","port":{"$":8080,"@enabled":"true"}}}'`)
+	fmt.Println(`             '{"instance":{"instanceId":"r1","hostName":"127.0.0.1","app":"RECORDS","ipAddr":"127.0.0.1","status":"UP","port":{"$":8080,"@enabled":"true"},"dataCenterInfo":{"name":"MyOwn"}}}'`)
 	fmt.Printf("take out   curl -X PUT '%s/apps/RECORDS/r1/status?value=OUT_OF_SERVICE'\n", e.URL())
-	fmt.Printf("put back   curl -X DELETE %s/apps/RECORDS/r1/status\n", e.URL())
-	fmt.Printf("look       curl %s/apps\n", e.URL())
+	fmt.Printf("put back   curl -X DELETE '%s/apps/RECORDS/r1/status?value=UP'\n", e.URL())
+	fmt.Printf("look       curl -H 'Accept: application/json' %s/apps\n", e.URL())
 	t := time.NewTimer(c.Duration)
 	defer t.Stop()
 	select {
--- a/internal/registry/eureka/bench_test.go
+++ b/internal/registry/eureka/bench_test.go
@@ -47,7 +47,7 @@
 			}
 			b.ReportAllocs()
 			for range b.N {
-				a, err := ParseJSON(bytes.NewReader(whole))
+				a, err := Parse(bytes.NewReader(whole), nil)
 				if err != nil {
 					b.Fatal(err)
 				}
@@ -75,7 +75,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			a, err := ParseJSON(bytes.NewReader(whole))
+			a, err := Parse(bytes.NewReader(whole), nil)
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/internal/registry/eureka/client.go
+++ b/internal/registry/eureka/client.go
@@ -26,10 +26,11 @@
 	Replicas []string // base URLs in order of preference, such as http://127.0.0.1:8761/eureka/v2
 	Apps     []string // the apps to watch; with VIPs both empty: all, by deltas
 	VIPs     []string
-	XML      bool          // ask for XML
-	Interval time.Duration // between fetches
-	Timeout  time.Duration // of one fetch
-	MostMB   int           // of one answer, unpacked
+	XML      bool                  // ask for XML
+	Interval time.Duration         // between fetches
+	Timeout  time.Duration         // of one fetch
+	MostMB   int                   // of one answer, unpacked
+	Keep     func(key string) bool // which metadata are kept; nil: all
 	Seed     uint64
 }
 
@@ -297,11 +298,7 @@
 	}
 	most := int64(c.cfg.MostMB) << 20
 	body := &io.LimitedReader{R: resp.Body, N: most + 1}
-	parse := ParseJSON
-	if strings.Contains(resp.Header.Get("Content-Type"), "xml") {
-		parse = ParseXML
-	}
-	a, err := parse(body)
+	a, err := Parse(body, c.cfg.Keep)
 	c.fetched += most + 1 - body.N
 	if body.N <= 0 {
 		return nil, fmt.Errorf("%s: an answer of more than %d MB", path, c.cfg.MostMB)
--- a/internal/registry/eureka/eureka_test.go
+++ b/internal/registry/eureka/eureka_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -91,7 +90,7 @@
 				t.Fatalf("first %+v", n)
 			}
 			if i := n.Instances[0]; i.Port != 7001 || i.SecurePort != 0 || i.IP != "127.0.0.1" || i.Metadata["zone"] != "a" || i.Dirty == 0 ||
-				i.Updated == 0 || i.App != "RECORDS" || i.VIP != "records" || i.Override != "UNKNOWN" || (!asXML && i.ServiceUp == 0) {
+				i.Updated == 0 || i.App != "RECORDS" || i.VIP != "records" || i.Override != "UNKNOWN" || i.ServiceUp == 0 {
 				t.Errorf("instance %+v", i)
 			}
 			for _, step := range []struct {
@@ -230,54 +229,6 @@
 	}
 }
 
-// The quirks of the field, one by one.
-func TestQuirks(t *testing.T) {
-	const head = `{"applications":{"versions__delta":1,"apps__hashcode":"UP_1_","application":`
-	full := Instance{ID: "i", App: "A", Host: "h", IP: "10.0.0.1", Port: 8080, Status: "UP", Updated: 5, Dirty: 4, Metadata: map[string]string{"k": "1"}}
-	for name, text := range map[string]string{
-		"lists": head + `[{"name":"A","instance":[{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":8080,"@enabled":"true"},
-			"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"@class":"x","k":"1"}}]}]}}`,
-		"single elements": head + `{"name":"A","instance":{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":"8080","@enabled":true},
-			"lastUpdatedTimestamp":5,"lastDirtyTimestamp":4,"metadata":{"k":1}}}}}`,
-		"plain port and lower case": head + `{"name":"A","instance":{"app":"A","instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"up","port":8080,
-			"securePort":{"$":443,"@enabled":"false"},"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"k":"1"},"later":[1]}}}}`,
-		"one app": `{"application":{"name":"A","instance":{"instanceId":"i","hostName":"h","ipAddr":"10.0.0.1","status":"UP","port":{"$":8080},
-			"lastUpdatedTimestamp":"5","lastDirtyTimestamp":"4","metadata":{"k":"1"}}}}`,
-		"xml": `<?xml version="1.0"?><applications><versions__delta>1</versions__delta><apps__hashcode>UP_1_</apps__hashcode><application><name>A</name><instance>
-			<instanceId>i</instanceId><hostName>h</hostName><ipAddr>10.0.0.1</ipAddr><status>UP</status><port enabled="true">8080</port>
-			<lastUpdatedTimestamp>5</lastUpdatedTimestamp><lastDirtyTimestamp>4</lastDirtyTimestamp><metadata><k>1</k></metadata></instance></application></applications>`,
-	} {
-		parse := ParseJSON
-		if name == "xml" {
-			parse = ParseXML
-		}
-		a, err := parse(strings.NewReader(text))
-		if err != nil || len(a.Instances) != 1 || !reflect.DeepEqual(a.Instances[0], full) {
-			t.Errorf("%s: %+v, %v", name, a, err)
-		}
-	}
-	for name, text := range map[string]string{
-		"no id":        head + `{"name":"A","instance":{"status":"UP"}}}}`,
-		"control byte": head + `{"name":"A","instance":{"instanceId":"a\nb"}}}}`,
-		"long id":      head + `{"name":"A","instance":{"instanceId":"` + strings.Repeat("x", 2000) + `"}}}}`,
-		"no apps":      `{"applications":{"application":[]}}`,
-		"null":         `{"applications":{"application":null}}`,
-	} {
-		if a, err := ParseJSON(strings.NewReader(text)); err != nil || len(a.Instances) != 0 {
-			t.Errorf("%s: %+v, %v", name, a, err)
-		}
-	}
-	for _, text := range []string{"", "null", "[]", `{"x":1}`, `{"applications":{}}x`, `{"applications":7}`, "<applications>"} {
-		if a, err := ParseJSON(strings.NewReader(text)); err == nil {
-			t.Errorf("%q: %+v and no error", text, a)
-		}
-	}
-	odd := head + `{"name":"A","instance":{"instanceId":"räuber/☃ %2F?#","hostName":"h"}}}}`
-	if a, err := ParseJSON(strings.NewReader(odd)); err != nil || len(a.Instances) != 1 || a.Instances[0].ID != "räuber/☃ %2F?#" {
-		t.Errorf("odd characters: %+v, %v", a, err)
-	}
-}
-
 func TestHashCode(t *testing.T) {
 	if got := HashCode(map[string]int{"UP": 3, "DOWN": 1, "STARTING": 0}); got != "DOWN_1_UP_3_" {
 		t.Errorf("got %q", got)
@@ -288,8 +239,8 @@
 func TestLargeAnswerIsRefused(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Write([]byte(`{"applications":{"application":[`))
-		one := []byte(`{"name":"` + strings.Repeat("x", 1<<20) + `"},`)
-		for range 50 {
+		one := []byte(`{"name":"` + strings.Repeat("x", 1<<14) + `"},`)
+		for range 50 << 6 {
 			if _, err := w.Write(one); err != nil {
 				return
 			}
@@ -313,18 +264,13 @@
 	f.Add([]byte(`<applications><application><instance><instanceId>i</instanceId><port enabled="true">1</port><metadata><a>b</a></metadata></instance></application></applications>`))
 	f.Add([]byte(`{"applications":null}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		for _, parse := range []func([]byte) (*Applications, error){
-			func(b []byte) (*Applications, error) { return ParseJSON(bytes.NewReader(b)) },
-			func(b []byte) (*Applications, error) { return ParseXML(bytes.NewReader(b)) },
-		} {
-			a, err := parse(text)
-			if err != nil {
-				continue
-			}
-			for _, i := range a.Instances {
-				if i.ID == "" || strings.ContainsAny(i.ID+i.Status, "\n\x00") || i.Port < 0 || i.Port > 65535 || len(i.Metadata) > maxMetadata {
-					t.Errorf("instance %+v", i)
-				}
+		a, err := Parse(bytes.NewReader(text), nil)
+		if err != nil {
+			return
+		}
+		for _, i := range a.Instances {
+			if i.ID == "" || strings.ContainsAny(i.ID+i.Status, "\n\x00") || i.Port < 0 || i.Port > 65535 || len(i.Metadata) > maxMetadata {
+				t.Errorf("instance %+v", i)
 			}
 		}
 	})
@@ -353,7 +299,7 @@
 		text.WriteString(`,{"instanceId":"x"}`)
 	}
 	text.WriteString(`]}}}`)
-	if _, err := ParseJSON(strings.NewReader(text.String())); err == nil || !strings.Contains(err.Error(), "more than 100000 instances") {
+	if _, err := Parse(strings.NewReader(text.String()), nil); err == nil || !strings.Contains(err.Error(), "more than 100000 instances") {
 		t.Errorf("one more than the bound: %v", err)
 	}
 }
--- a/internal/registry/eureka/wire.go
+++ b/internal/registry/eureka/wire.go
@@ -4,9 +4,7 @@
 package eureka
 
 import (
-	"bytes"
-	"encoding/json"
-	"encoding/xml"
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -26,12 +24,12 @@
 	Port       int // 0: the plain port is off
 	SecurePort int // 0: the secure port is off
 	Status     string
-	Override   string // empty or UNKNOWN: there is none
-	Action     string // of a delta: ADDED, MODIFIED or DELETED
-	Updated    int64  // Unix ms by the registry's clock
-	Dirty      int64  // Unix ms by the instance's clock
-	ServiceUp  int64  // Unix ms: when it came up first
-	Metadata   map[string]string
+	Override   string            // empty or UNKNOWN: there is none
+	Action     string            // of a delta: ADDED, MODIFIED or DELETED
+	Updated    int64             // Unix ms by the registry's clock
+	Dirty      int64             // Unix ms by the instance's clock
+	ServiceUp  int64             // Unix ms: when it came up first
+	Metadata   map[string]string // the entries that were asked for
 }
 
 // Applications is an answer to a fetch.
@@ -44,8 +42,10 @@
 // Bounds of what a registry may send.
 const (
 	maxInstances = 100_000
-	maxText      = 1 << 10 // of an id, a name and the like; metadata values too
-	maxMetadata  = 64      // entries of an instance; further ones are dropped
+	maxText      = 1 << 10  // of an id, a name and the like; metadata values too
+	maxMetadata  = 64       // entries of an instance; further ones are dropped
+	maxToken     = 64 << 10 // bytes from one name or value of the answer to the next
+	maxDepth     = 32       // of what stands in one another
 )
 
 // HashCode is what apps__hashcode should be for instances of these statuses:
@@ -60,395 +60,196 @@
 	return b.String()
 }
 
-// word is a text that may also be written as a number or a boolean.
-type word string
-
-func (w *word) UnmarshalJSON(text []byte) error {
-	if len(text) > 0 && text[0] == '"' {
-		return json.Unmarshal(text, (*string)(w))
-	}
-	switch {
-	case string(text) == "null":
-		*w = ""
-	case text[0] == '{' || text[0] == '[':
-		return fmt.Errorf("%.40s: a text is meant", text)
-	default:
-		*w = word(text)
+// Parse reads an answer: applications, or one application. Whether it is JSON or
+// XML is seen by its first byte, as what announces it is wrong now and then. It
+// is read as a stream, so that a long list takes little more memory than what is
+// made of it. keep says which metadata are kept; nil keeps all.
+//
+// Servers differ; docs/protocol/eureka.md has a table of what is taken.
+func Parse(r io.Reader, keep func(key string) bool) (*Applications, error) {
+	bound := &tokenBound{in: bufio.NewReaderSize(r, 4<<10)}
+	p := &parser{a: new(Applications), keep: keep, texts: make(map[string]string)}
+	first, err := bound.begin()
+	if err == nil {
+		if first == '<' {
+			err = p.xml(bound)
+		} else {
+			err = p.json(bound)
+		}
 	}
-	return nil
-}
-
-func (w word) number() int64 {
-	n, err := strconv.ParseInt(strings.TrimSpace(string(w)), 10, 64)
 	if err != nil {
-		return 0
+		return nil, fmt.Errorf("registry's answer: %w", err)
 	}
-	return n
-}
-
-// port is {"$": 8080, "@enabled": "true"}, its number and flag written either
-// way, or a number alone.
-type port struct {
-	Number  word   `json:"$" xml:",chardata"`
-	Enabled string `json:"-" xml:"enabled,attr"`
+	return p.a, nil
 }
 
-func (p *port) UnmarshalJSON(text []byte) error {
-	text = bytes.TrimSpace(text)
-	if len(text) > 0 && text[0] != '{' {
-		p.Enabled = "true"
-		return json.Unmarshal(text, &p.Number)
-	}
-	var full struct {
-		Number  word `json:"$"`
-		Enabled word `json:"@enabled"`
-	}
-	if err := json.Unmarshal(text, &full); err != nil {
-		return err
-	}
-	p.Number, p.Enabled = full.Number, string(full.Enabled)
-	return nil
+// parser makes Applications of what a reader of either format finds.
+type parser struct {
+	a     *Applications
+	keep  func(string) bool
+	texts map[string]string
+	found bool
 }
 
-func (p port) number() int {
-	n := p.Number.number()
-	if p.Enabled == "false" || n < 1 || n > 65535 {
-		return 0
-	}
-	return int(n)
-}
+// errRoot says that an answer is some other document.
+var errRoot = errors.New("it holds neither applications nor an application")
 
-// metadata is a map of texts; the registry marks its class with "@class", and
-// writes values as numbers now and then.
-type metadata map[string]string
+// keptTexts bounds how many texts are looked up to be held once.
+const keptTexts = 4096
 
-func (m *metadata) UnmarshalJSON(text []byte) error {
-	var all map[string]json.RawMessage
-	if err := json.Unmarshal(text, &all); err != nil {
-		return nil // "" or null where there is none
+// text gives a string, the same one for the same bytes: most texts of a list
+// stand in it again and again.
+func (p *parser) text(b []byte) string {
+	if s, ok := p.texts[string(b)]; ok {
+		return s
 	}
-	*m = make(metadata, len(all))
-	for _, key := range slices.Sorted(maps.Keys(all)) {
-		var w word
-		if strings.HasPrefix(key, "@") || json.Unmarshal(all[key], &w) != nil {
-			continue
-		}
-		m.set(key, string(w))
+	s := string(b)
+	if len(p.texts) < keptTexts && len(s) <= 64 {
+		p.texts[s] = s
 	}
-	return nil
+	return s
 }
 
-func (m *metadata) set(key, value string) {
-	if *m == nil {
-		*m = make(metadata)
-	}
-	if len(*m) < maxMetadata && len(key) <= maxText && len(value) <= maxText {
-		(*m)[key] = value
-	}
-}
-
-// UnmarshalXML reads elements named by their keys.
-func (m *metadata) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
-	for {
-		t, err := d.Token()
-		if err != nil {
-			return err
+// set takes one field of an instance; those that are not known are passed over.
+func (p *parser) set(i *Instance, name string, value []byte) {
+	switch name {
+	case "instanceId":
+		i.ID = string(value)
+	case "hostName":
+		if i.Host = string(value); i.Host == i.IP {
+			i.Host = i.IP // held once
 		}
-		switch t := t.(type) {
-		case xml.StartElement:
-			var value string
-			if err := d.DecodeElement(&value, &t); err != nil {
-				return err
-			}
-			m.set(t.Name.Local, value)
-		case xml.EndElement:
-			return nil
+	case "app":
+		i.App = p.text(value)
+	case "ipAddr":
+		if i.IP = string(value); i.IP == i.Host {
+			i.IP = i.Host
 		}
-	}
-}
-
-// wireInstance is an instance as it is written.
-type wireInstance struct {
-	ID        word     `json:"instanceId" xml:"instanceId"`
-	Host      word     `json:"hostName" xml:"hostName"`
-	App       word     `json:"app" xml:"app"`
-	IP        word     `json:"ipAddr" xml:"ipAddr"`
-	VIP       word     `json:"vipAddress" xml:"vipAddress"`
-	Status    word     `json:"status" xml:"status"`
-	Override  word     `json:"overriddenStatus" xml:"overriddenStatus"`
-	Override2 word     `json:"overriddenstatus" xml:"overriddenstatus"`
-	Port      port     `json:"port" xml:"port"`
-	Secure    port     `json:"securePort" xml:"securePort"`
-	Action    word     `json:"actionType" xml:"actionType"`
-	Updated   word     `json:"lastUpdatedTimestamp" xml:"lastUpdatedTimestamp"`
-	Dirty     word     `json:"lastDirtyTimestamp" xml:"lastDirtyTimestamp"`
-	Metadata  metadata `json:"metadata" xml:"metadata"`
-	Lease     struct {
-		ServiceUp word `json:"serviceUpTimestamp" xml:"serviceUpTimestamp"`
-	} `json:"leaseInfo" xml:"leaseInfo"`
-}
-
-type wireApplications struct {
-	Version string            `xml:"versions__delta"`
-	Hash    string            `xml:"apps__hashcode"`
-	Apps    []wireApplication `xml:"application"`
-}
-
-type wireApplication struct {
-	Name      string         `xml:"name"`
-	Instances []wireInstance `xml:"instance"`
-}
-
-// ParseJSON reads an answer: {"applications": …}, or {"application": …} for one
-// app. It reads it as a stream, an instance at a time, so that a long list takes
-// little more memory than what is made of it. A list of one may be written as
-// its element.
-func ParseJSON(r io.Reader) (*Applications, error) {
-	p := &jsonReader{d: json.NewDecoder(r), a: new(Applications)}
-	if err := p.answer(); err != nil {
-		return nil, fmt.Errorf("registry's answer: %w", err)
-	}
-	return p.a, nil
-}
-
-type jsonReader struct {
-	d     *json.Decoder
-	a     *Applications
-	found bool
-}
-
-func (p *jsonReader) answer() error {
-	err := p.list(func(opened bool) error {
-		if !opened {
-			return errors.New("an object is meant, not a list")
+	case "vipAddress":
+		i.VIP = p.text(value)
+	case "status":
+		i.Status = strings.ToUpper(p.text(value))
+	case "overriddenStatus", "overriddenstatus":
+		if len(value) > 0 {
+			i.Override = strings.ToUpper(p.text(value))
 		}
-		return p.fields(func(key string) error {
-			switch key {
-			case "applications":
-				return p.list(p.applications)
-			case "application":
-				return p.list(p.application)
-			}
-			return p.skip()
-		})
-	})
-	if err != nil {
-		return err
-	}
-	if _, err := p.d.Token(); err != io.EOF {
-		return errors.New("something comes behind it")
+	case "actionType":
+		i.Action = strings.ToUpper(p.text(value))
+	case "lastUpdatedTimestamp":
+		i.Updated = number(value)
+	case "lastDirtyTimestamp":
+		i.Dirty = number(value)
 	}
-	if !p.found {
-		return errors.New("it holds neither applications nor an application")
-	}
-	return nil
 }
 
-// list reads a list by its elements, or the one element that stands in its
-// place; one is told whether that element's object is open already. Null and an
-// empty text stand for no element.
-func (p *jsonReader) list(one func(opened bool) error) error {
-	t, err := p.d.Token()
+// number reads a number that may stand as a text; 0 where it is none.
+func number(text []byte) int64 {
+	s := strings.TrimSpace(string(text))
+	n, err := strconv.ParseInt(s, 10, 64)
 	if err != nil {
-		return err
-	}
-	switch t {
-	case json.Delim('{'):
-		return one(true)
-	case json.Delim('['):
-		for p.d.More() {
-			if err := one(false); err != nil {
-				return err
-			}
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || !(f > -1<<62 && f < 1<<62) {
+			return 0
 		}
-		_, err := p.d.Token()
-		return err
-	case nil, "":
-		return nil
+		n = int64(f)
 	}
-	return fmt.Errorf("%.40v: an object or a list is meant", t)
+	return n
 }
 
-// fields reads an object that is open to its end.
-func (p *jsonReader) fields(field func(key string) error) error {
-	for p.d.More() {
-		t, err := p.d.Token()
-		if err != nil {
-			return err
-		}
-		key, _ := t.(string)
-		if err := field(key); err != nil {
-			return fmt.Errorf("%.40s: %w", key, err)
-		}
+// port is a port's number; 0 where it is off or none.
+func port(text []byte, enabled string) int {
+	n := number(text)
+	if strings.EqualFold(enabled, "false") || n < 1 || n > 65535 {
+		return 0
 	}
-	_, err := p.d.Token()
-	return err
-}
-
-func (p *jsonReader) skip() error {
-	var any json.RawMessage
-	return p.d.Decode(&any)
+	return int(n)
 }
 
-// open reads the beginning of an object that is not open yet.
-func (p *jsonReader) open(opened bool) error {
-	if opened {
-		return nil
+func (p *parser) metadata(i *Instance, key string, value []byte) {
+	if key == "" || key[0] == '@' || key[0] == '$' || len(key) > maxText || len(value) > maxText || p.keep != nil && !p.keep(key) {
+		return
 	}
-	t, err := p.d.Token()
-	if err == nil && t != json.Delim('{') {
-		err = fmt.Errorf("%.40v: an object is meant", t)
+	if i.Metadata == nil {
+		i.Metadata = make(map[string]string)
 	}
-	return err
-}
-
-func (p *jsonReader) applications(opened bool) error {
-	if err := p.open(opened); err != nil {
-		return err
+	if len(i.Metadata) < maxMetadata {
+		i.Metadata[p.text([]byte(key))] = p.text(value)
 	}
-	p.found = true
-	return p.fields(func(key string) error {
-		var w word
-		switch key {
-		case "versions__delta":
-			err := p.d.Decode(&w)
-			p.a.Version = string(w)
-			return err
-		case "apps__hashcode":
-			err := p.d.Decode(&w)
-			p.a.Hash = string(w)
-			return err
-		case "application":
-			return p.list(p.application)
-		}
-		return p.skip()
-	})
 }
 
-func (p *jsonReader) application(opened bool) error {
-	if err := p.open(opened); err != nil {
-		return err
+// add takes an instance over; one of which too little can be made is left out,
+// and spoils no other.
+func (p *parser) add(i *Instance) error {
+	if len(p.a.Instances) == maxInstances {
+		return fmt.Errorf("more than %d instances", maxInstances)
 	}
-	p.found = true
-	var name word
-	first := len(p.a.Instances)
-	err := p.fields(func(key string) error {
-		switch key {
-		case "name":
-			return p.d.Decode(&name)
-		case "instance":
-			return p.list(p.instance)
-		}
-		return p.skip()
-	})
-	for i := range p.a.Instances[first:] { // the name may come behind them
-		if x := &p.a.Instances[first+i]; x.App == "" {
-			x.App = string(name)
-		}
+	if i.ID == "" { // older registries name it by its host
+		i.ID = i.Host
 	}
-	return err
-}
-
-func (p *jsonReader) instance(opened bool) error {
-	var w wireInstance
-	if !opened {
-		if err := p.d.Decode(&w); err != nil {
-			return err
+	for _, s := range []string{i.ID, i.App, i.Host, i.IP, i.VIP, i.Status, i.Override, i.Action} {
+		if len(s) > maxText || strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+			return nil
 		}
-		return p.a.add(&w, "")
 	}
-	known := map[string]any{
-		"instanceId": &w.ID, "hostName": &w.Host, "app": &w.App, "ipAddr": &w.IP, "vipAddress": &w.VIP, "status": &w.Status,
-		"overriddenStatus": &w.Override, "overriddenstatus": &w.Override2, "port": &w.Port, "securePort": &w.Secure,
-		"actionType": &w.Action, "lastUpdatedTimestamp": &w.Updated, "lastDirtyTimestamp": &w.Dirty, "metadata": &w.Metadata, "leaseInfo": &w.Lease,
+	if i.ID != "" {
+		p.a.Instances = append(p.a.Instances, *i)
 	}
-	err := p.fields(func(key string) error {
-		if into := known[key]; into != nil {
-			return p.d.Decode(into)
+	return nil
+}
+
+// named gives the instances from first on the name of their app where they do
+// not say it: it may come behind them.
+func (p *parser) named(first int, app string) {
+	for i := range p.a.Instances[first:] {
+		if x := &p.a.Instances[first+i]; x.App == "" && len(app) <= maxText {
+			x.App = app
 		}
-		return p.skip()
-	})
-	if err != nil {
-		return err
 	}
-	return p.a.add(&w, "")
 }
 
-// ParseXML reads the same as XML.
-func ParseXML(r io.Reader) (*Applications, error) {
-	d := xml.NewDecoder(r)
+// tokenBound reads an answer and fails where too much comes between one name or
+// value and the next: a reader of tokens would hold all of it at once.
+type tokenBound struct {
+	in    *bufio.Reader
+	since int
+}
+
+// begin passes over what may stand before the answer and gives its first byte.
+func (b *tokenBound) begin() (byte, error) {
+	if mark, err := b.in.Peek(3); err == nil && string(mark) == "\xef\xbb\xbf" {
+		b.in.Discard(3)
+	}
 	for {
-		t, err := d.Token()
+		c, err := b.in.ReadByte()
 		if err != nil {
-			return nil, fmt.Errorf("registry's answer: %w", err)
+			return 0, fmt.Errorf("it is empty: %w", err)
 		}
-		start, ok := t.(xml.StartElement)
-		if !ok {
-			continue
+		if c != ' ' && c != '\n' && c != '\r' && c != '\t' {
+			return c, b.in.UnreadByte()
 		}
-		w := new(wireApplications)
-		switch start.Name.Local {
-		case "applications":
-			err = d.DecodeElement(w, &start)
-		case "application":
-			var one wireApplication
-			err = d.DecodeElement(&one, &start)
-			w.Apps = []wireApplication{one}
-		default:
-			err = fmt.Errorf("element %.40q", start.Name.Local)
+		if b.since++; b.since > maxToken {
+			return 0, errToken
 		}
-		if err != nil {
-			return nil, fmt.Errorf("registry's answer: %w", err)
-		}
-		return w.gather()
 	}
 }
 
-// gather takes the instances of an XML answer over.
-func (w *wireApplications) gather() (*Applications, error) {
-	a := &Applications{Version: w.Version, Hash: w.Hash}
-	for i := range w.Apps {
-		for j := range w.Apps[i].Instances {
-			if err := a.add(&w.Apps[i].Instances[j], w.Apps[i].Name); err != nil {
-				return nil, fmt.Errorf("registry's answer: %w", err)
-			}
-		}
-	}
-	return a, nil
-}
+var errToken = fmt.Errorf("more than %d bytes in one value", maxToken)
 
-// add takes an instance over; one of which too little can be made is left out,
-// and spoils no other.
-func (a *Applications) add(w *wireInstance, app string) error {
-	if len(a.Instances) == maxInstances {
-		return fmt.Errorf("more than %d instances", maxInstances)
-	}
-	if one, ok := w.instance(app); ok {
-		a.Instances = append(a.Instances, one)
+// token says that a token ended.
+func (b *tokenBound) token() { b.since = 0 }
+
+func (b *tokenBound) Read(p []byte) (int, error) {
+	if b.since > maxToken {
+		return 0, errToken
 	}
-	return nil
+	n, err := b.in.Read(p)
+	b.since += n
+	return n, err
 }
 
-func (w *wireInstance) instance(app string) (Instance, bool) {
-	i := Instance{
-		ID: string(w.ID), App: string(w.App), Host: string(w.Host), IP: string(w.IP), VIP: string(w.VIP),
-		Port: w.Port.number(), SecurePort: w.Secure.number(), Status: strings.ToUpper(string(w.Status)),
-		Override: strings.ToUpper(string(w.Override)), Action: strings.ToUpper(string(w.Action)),
-		Updated: w.Updated.number(), Dirty: w.Dirty.number(), ServiceUp: w.Lease.ServiceUp.number(), Metadata: w.Metadata,
-	}
-	if i.Override == "" {
-		i.Override = strings.ToUpper(string(w.Override2))
-	}
-	if i.App == "" {
-		i.App = app
-	}
-	if i.ID == "" { // older registries name it by its host
-		i.ID = i.Host
-	}
-	for _, s := range []string{i.ID, i.App, i.Host, i.IP, i.VIP, i.Status} {
-		if len(s) > maxText || strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r == 0x7f }) {
-			return i, false
-		}
+func (b *tokenBound) ReadByte() (byte, error) {
+	if b.since++; b.since > maxToken {
+		return 0, errToken
 	}
-	return i, i.ID != ""
+	return b.in.ReadByte()
 }
--- a/internal/registry/merge/mapping.go
+++ b/internal/registry/merge/mapping.go
@@ -21,6 +21,11 @@
 	Secure   bool   // nodes are reached at their secure port
 }
 
+// Uses says whether any field is told by that metadata's name.
+func (m *Mapping) Uses(key string) bool {
+	return key != "" && (key == m.Site || key == m.Kind || key == m.Cell || key == m.Weight || key == m.Protocol || key == m.Started)
+}
+
 // instance makes a registry's instance one of the membership module's; false
 // where it has no address.
 func (m *Mapping) instance(i *eureka.Instance) (membership.Delta, bool) {
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -129,7 +129,7 @@
 		}
 		client, err := eureka.NewClient(eureka.Config{
 			Replicas: slices.Clone(e.Replicas), Apps: e.Apps, VIPs: e.VIPs, XML: e.Format == "xml",
-			Interval: e.Interval.Value(), Timeout: e.Timeout.Value(), MostMB: int(e.MostMB), Seed: c.Seed + uint64(i),
+			Interval: e.Interval.Value(), Timeout: e.Timeout.Value(), MostMB: int(e.MostMB), Keep: mapping.Uses, Seed: c.Seed + uint64(i),
 		}, func(n eureka.News) { m.Eureka(source, mapping, n) })
 		if err != nil {
 			return fmt.Errorf("registry %s: %w", e.Name, err)
