Hold 10,000 listed nodes in 32 MB and derive most_nodes from the memory limit

Need: at 10,000 nodes the program took 57 MB, and a sidecar of 32 MB was full at about 1,000. The list was held several times over while it was read, told whole to 'mothridge members', and the runtime's limit counted none of the program's text.

The decision module finds a server by a map. most_nodes is by default what the memory holds (10,485 at 32 MB).

--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -53,14 +53,20 @@
 	return sidecar.Run(stop, reload, c)
 }
 
+// outside is what the process takes beside the runtime's own memory: the
+// program's text, above all. It counts where the limit is small.
+const outside = 12 << 20
+
 // fit keeps the runtime within the platform's limits. The heap is small, so it
-// is collected rarely, but the memory limit is kept to with a quarter to spare.
+// is collected rarely, but the memory limit is kept to with a quarter to spare,
+// or with what lies outside of the runtime where that is more.
 func fit(l sidecar.Limits) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(l.Cores)))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(l.MemoryMB << 20 / 4 * 3)
+		limit := l.MemoryMB << 20
+		debug.SetMemoryLimit(max(limit/4, min(limit/4*3, limit-outside)))
 		debug.SetGCPercent(400)
 	}
 }
--- a/cmd/mothridge/members.go
+++ b/cmd/mothridge/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"os/signal"
 	"strings"
@@ -22,11 +23,27 @@
 
 // Run asks and prints a table.
 func (c *membersCommand) Run() error {
-	var v merge.View
-	if err := admin.Ask(context.Background(), c.Socket, "members", &v); err != nil {
+	v, err := askMembers(context.Background(), c.Socket)
+	if err != nil {
 		return err
 	}
-	return printMembers(os.Stdout, &v)
+	return printMembers(os.Stdout, v)
+}
+
+// askMembers asks a page at a time, so that a long list costs the sidecar little.
+func askMembers(ctx context.Context, socket string) (*merge.View, error) {
+	all := new(merge.View)
+	for after := ""; ; {
+		var page merge.View
+		if err := admin.Ask(ctx, socket, "members?after="+url.QueryEscape(after), &page); err != nil {
+			return nil, err
+		}
+		all.Now, all.Sources, all.Members = page.Now, page.Sources, append(all.Members, page.Members...)
+		if len(page.Members) == 0 {
+			return all, nil
+		}
+		after = page.Members[len(page.Members)-1].Addr
+	}
 }
 
 func printMembers(out io.Writer, v *merge.View) error {
--- a/cmd/mothridge/members_test.go
+++ b/cmd/mothridge/members_test.go
@@ -13,9 +13,7 @@
 	"testing"
 	"time"
 
-	"mothridge/internal/admin"
 	"mothridge/internal/peers"
-	"mothridge/internal/registry/merge"
 )
 
 // The real program follows a registry, registers with it, and tells its members.
@@ -90,14 +88,16 @@
 	for _, n := range []int{0, 100, 1000, 10000} {
 		b.Run(fmt.Sprint("nodes=", n), func(b *testing.B) {
 			for range b.N {
-				b.ReportMetric(float64(resident(b, n)), "rss-kB")
+				now, most := resident(b, n)
+				b.ReportMetric(float64(now), "rss-kB")
+				b.ReportMetric(float64(most), "peak-kB")
 			}
 		})
 	}
 }
 
-// resident gives the resident memory of the program, in kB.
-func resident(b *testing.B, n int) int {
+// resident gives the resident memory of the program, in kB, and the most there was of it.
+func resident(b *testing.B, n int) (now, most int) {
 	b.Helper()
 	e, err := peers.StartEureka("")
 	if err != nil {
@@ -123,7 +123,7 @@
 		sources = "[membership]\nplatform = false\n[[eureka]]\nname = \"records\"\nreplicas = [\"" + e.URL() + "\"]\ninterval = \"1s\"\ntimeout = \"20s\"\n"
 	}
 	for path, text := range map[string]string{
-		config: `{"name":"n0","listen":"` + addr + `","discovery":"127.0.0.1:1","seed":"ff","limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+		config: `{"name":"n0","listen":"` + addr + `","discovery":"127.0.0.1:1","seed":"ff","limits":{"cores":1.0,"memory_mb":32,"sockets":256},
 			"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","aim_ms":500,"hard_limit_ms":1000}]}}`,
 		operators: "[admin]\nsocket = \"" + socket + "\"\n" + sources,
 	} {
@@ -131,8 +131,13 @@
 			b.Fatal(err)
 		}
 	}
-	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
-	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
+	build := exec.Command("go", "build", "-o", dir, ".") // as deploy/balancer.toml has it
+	build.Env = append(os.Environ(), "CGO_ENABLED=0")
+	if out, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	cmd := exec.Command(filepath.Join(dir, "mothridge"), "run", "--operator", operators)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
 	if err := cmd.Start(); err != nil {
 		b.Fatal(err)
 	}
@@ -141,8 +146,7 @@
 		cmd.Wait()
 	}()
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		var v merge.View
-		err := admin.Ask(b.Context(), socket, "members", &v)
+		v, err := askMembers(b.Context(), socket)
 		if err == nil && len(v.Members) == n || n == 0 && err != nil && strings.Contains(err.Error(), "not turned on") {
 			break
 		}
@@ -152,10 +156,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	_, after, _ := strings.Cut(string(text), "VmRSS:")
-	kB, err := strconv.Atoi(strings.Fields(after)[0])
-	if err != nil {
-		b.Fatal(err)
+	number := func(name string) int {
+		_, after, _ := strings.Cut(string(text), name+":")
+		kB, err := strconv.Atoi(strings.Fields(after)[0])
+		if err != nil {
+			b.Fatal(err)
+		}
+		return kB
 	}
-	return kB
+	return number("VmRSS"), number("VmHWM")
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,7 +11,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -21,8 +23,8 @@
 	server *http.Server
 }
 
-// Question answers one path.
-type Question func(ctx context.Context) (any, error)
+// Question answers one path; query holds what its asker wants of it.
+type Question func(ctx context.Context, query url.Values) (any, error)
 
 const (
 	answerIn  = 5 * time.Second
@@ -57,7 +59,7 @@
 		mux.HandleFunc("GET /"+name, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), answerIn)
 			defer cancel()
-			answer, err := q(ctx)
+			answer, err := q(ctx, r.URL.Query())
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusServiceUnavailable)
 				return
@@ -81,7 +83,8 @@
 // Close ends it and takes the socket away.
 func (s *Server) Close() { s.server.Close() }
 
-// Ask asks a running sidecar and decodes its answer into out.
+// Ask asks a running sidecar and decodes its answer into out. A question may
+// have a query behind it, such as members?after=127.0.0.1:80.
 func Ask(ctx context.Context, socket, question string, out any) error {
 	client := &http.Client{Timeout: answerIn + time.Second, Transport: &http.Transport{
 		DisableKeepAlives: true,
@@ -106,7 +109,8 @@
 	case http.StatusOK:
 		return json.Unmarshal(body, out)
 	case http.StatusNotFound:
-		return fmt.Errorf("the sidecar at %s has nothing to tell of %s: that is not turned on in its operators' file", socket, question)
+		asked, _, _ := strings.Cut(question, "?")
+		return fmt.Errorf("the sidecar at %s has nothing to tell of %s: that is not turned on in its operators' file", socket, asked)
 	}
 	return fmt.Errorf("the sidecar at %s: %.200s", socket, body)
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,8 +13,8 @@
 func TestAskAndAnswer(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s")
 	s, err := Listen(path, map[string]Question{
-		"members": func(context.Context) (any, error) { return []string{"a", "b"}, nil },
-		"broken":  func(context.Context) (any, error) { return nil, errors.New("not now") },
+		"members": func(context.Context, url.Values) (any, error) { return []string{"a", "b"}, nil },
+		"broken":  func(context.Context, url.Values) (any, error) { return nil, errors.New("not now") },
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -295,13 +295,18 @@
 // list takes news of the list over and passes them to the module.
 func (l *Core) list(kind policy.ListKind, news News) {
 	servers := make([]policy.Server, 0, len(news.Instances))
-	named := make(map[string]bool, len(news.Instances))
+	var named map[string]bool // a delta names what it changes, and that alone
+	if kind != policy.ListDelta {
+		named = make(map[string]bool, len(news.Instances))
+	}
 	for _, e := range news.Instances {
-		if named[e.Name] && kind != policy.ListDelta {
+		if named[e.Name] {
 			slog.Warn("discovery: host listed twice", "host", e.Name)
 		}
 		if s, ok := l.enter(e); ok {
-			named[e.Name] = true
+			if named != nil {
+				named[e.Name] = true
+			}
 			servers = append(servers, s)
 		} else if e.Health != Removed {
 			slog.Warn("discovery: entry passed over", "host", e.Name, "dial", e.Addr)
--- a/internal/registry/merge/merge.go
+++ b/internal/registry/merge/merge.go
@@ -149,22 +149,25 @@
 
 // Eureka takes what a Eureka registry tells, as source number, by a mapping.
 func (m *Merger) Eureka(number int, mapping Mapping, news eureka.News) {
-	list := make([]membership.Delta, 0, len(news.Instances))
+	replica := news.Replica // the rest of the news is let go before they are merged
+	if !news.Whole {
+		list := make([]membership.Delta, 0, len(news.Instances))
+		for i := range news.Instances {
+			if d, ok := mapping.instance(&news.Instances[i]); ok {
+				list = append(list, d)
+			}
+		}
+		m.events <- func(now time.Duration) { m.tell(m.set.Delta(now, number, replica, list)) }
+		return
+	}
+	whole := make([]membership.Instance, 0, len(news.Instances))
 	for i := range news.Instances {
 		if d, ok := mapping.instance(&news.Instances[i]); ok {
-			list = append(list, d)
+			whole = append(whole, d.Instance)
 		}
 	}
 	m.events <- func(now time.Duration) {
-		if !news.Whole {
-			m.tell(m.set.Delta(now, number, news.Replica, list))
-			return
-		}
-		whole := make([]membership.Instance, len(list))
-		for i := range list {
-			whole[i] = list[i].Instance
-		}
-		changes, err := m.set.Whole(now, number, news.Replica, whole)
+		changes, err := m.set.Whole(now, number, replica, whole)
 		if err != nil {
 			slog.Warn("membership: list refused, the last one stays", "err", err)
 		}
@@ -190,11 +193,12 @@
 	Sources []membership.SourceState
 }
 
-// View looks at it as it is now.
-func (m *Merger) View(ctx context.Context) (*View, error) {
+// View looks at it as it is now: the members behind an address, most of them at
+// the most.
+func (m *Merger) View(ctx context.Context, after string, most int) (*View, error) {
 	seen := make(chan *View, 1)
 	select {
-	case m.events <- func(now time.Duration) { seen <- &View{now, m.set.Members(), m.set.Sources()} }:
+	case m.events <- func(now time.Duration) { seen <- &View{now, m.set.Members(after, most), m.set.Sources()} }:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/registry/merge/merge_test.go
+++ b/internal/registry/merge/merge_test.go
@@ -103,13 +103,13 @@
 	if n = peertest.Await(t, "its end", news); len(n.Instances) != 1 || n.Instances[0].Health != core.Removed {
 		t.Errorf("news %+v", n)
 	}
-	v, err := m.View(t.Context())
+	v, err := m.View(t.Context(), "", 10)
 	if err != nil || len(v.Sources) != 2 || v.Sources[1].Live != 2 || v.Members[0].Reason != "OUT_OF_SERVICE by eureka" || len(v.Members[0].Claims) != 2 {
 		t.Errorf("view %+v, %v", v, err)
 	}
 	cancel()
 	peertest.Await(t, "the end", ended)
-	if _, err := m.View(ctx); err == nil {
+	if _, err := m.View(ctx, "", 10); err == nil {
 		t.Error("a view after the end")
 	}
 }
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/url"
 	"slices"
 	"sync"
 
@@ -73,6 +74,9 @@
 	return nil
 }
 
+// membersPage is how many nodes one answer of the admin socket holds.
+const membersPage = 250
+
 // administer opens the socket that the operators' commands ask at, if there is one.
 func (c *Config) administer(m *merge.Merger, loops *sync.WaitGroup) (end func(), err error) {
 	if c.Operator.Admin.Socket == "" {
@@ -80,7 +84,9 @@
 	}
 	questions := make(map[string]admin.Question)
 	if m != nil {
-		questions["members"] = func(ctx context.Context) (any, error) { return m.View(ctx) }
+		questions["members"] = func(ctx context.Context, q url.Values) (any, error) {
+			return m.View(ctx, q.Get("after"), membersPage) // a page at a time, as the list may be long
+		}
 	}
 	s, err := admin.Listen(c.Operator.Admin.Socket, questions)
 	if err != nil {
@@ -94,6 +100,29 @@
 	return s.Close, nil
 }
 
+const (
+	// nodeBytes is what a node takes in all modules together, measured at 10,000 of
+	// them (docs/benchmarks.md), and besides what a list needs while it is read.
+	nodeBytes = 1600
+	// withoutNodes is what the program takes before the first of them, with some
+	// room for requests.
+	withoutNodes = 16 << 20
+	leastNodes   = 500
+)
+
+// mostNodes is how many nodes a source may list: what the operators say, or
+// else what the memory of this process holds.
+func (c *Config) mostNodes() int {
+	if n := int(c.Operator.Membership.Most); n > 0 {
+		return n
+	}
+	if c.Limits.MemoryMB <= 0 {
+		return membership.DefaultMostNodes
+	}
+	fit := (c.Limits.MemoryMB<<20 - withoutNodes) / nodeBytes
+	return int(min(max(fit, leastNodes), membership.DefaultMostNodes))
+}
+
 // merger makes the one for the sources of the operators' file.
 func (c *Config) merger(k *core.Core) (*merge.Merger, error) {
 	o := &c.Operator
@@ -110,7 +139,7 @@
 	b := &o.Membership
 	set, err := membership.New(membership.Config{
 		MaxLoss: b.MaxLoss, LossWindow: b.Window.Value(), HoldFor: b.HoldFor.Value(), SilentAfter: b.Silent.Value(),
-		TombstoneFor: b.Tombstone.Value(), Settle: b.Settle.Value(), FreshFor: b.Fresh.Value(), MostNodes: int(b.Most),
+		TombstoneFor: b.Tombstone.Value(), Settle: b.Settle.Value(), FreshFor: b.Fresh.Value(), MostNodes: c.mostNodes(),
 	}, sources...)
 	if err != nil {
 		return nil, err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -126,20 +126,30 @@
 	doubtAt time.Duration
 }
 
+func (r *record) process() process { return process{r.source, r.ID, r.Started} }
+
 // node is an address with all that claims it.
 type node struct {
 	addr     string
 	claims   []*record
-	process  string // identity of the process that owns it
+	process  process // the one that owns it
 	key      string
 	shown    Change
 	is       bool // shown says what the world was told
+	damped   bool
+	touched  bool // it is among Set.changed
 	penalty  float64
 	faded    time.Duration // when penalty was right
-	damped   bool
 	freshTo  time.Duration // no cell until then
 	replaced int           // processes that the address had
-	touched  bool          // it is among Set.changed
+}
+
+// process is the identity of one: its start counts where it is known. The zero
+// value is none.
+type process struct {
+	source  int
+	id      string
+	started time.Duration
 }
 
 // source is what is known of a source as a whole.
@@ -156,7 +166,8 @@
 	silent  bool
 	reason  string // why it is not trusted; empty where it is
 	replica string
-	listed  bool // its first list is in
+	listed  bool                     // its first list is in
+	says    [OutOfService + 1]string // the usual reasons, which thousands of nodes share
 }
 
 // Source is where news come from.
@@ -205,8 +216,12 @@
 		}
 	}
 	s := &Set{cfg: cfg, nodes: make(map[string]*node), timed: make(map[string]bool)}
-	for _, src := range sources {
-		s.sources = append(s.sources, &source{name: src.Name, polled: src.Polled, records: make(map[string]*record)})
+	for _, given := range sources {
+		src := &source{name: given.Name, polled: given.Polled, records: make(map[string]*record)}
+		for status := range src.says {
+			src.says[status] = Status(status).String() + " by " + src.name
+		}
+		s.sources = append(s.sources, src)
 	}
 	return s, nil
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -109,7 +109,7 @@
 		w.t.Errorf("%s is in state %d (%s), want %d", addr, c.State, c.Reason, state)
 	}
 	got := c.Reason
-	for _, m := range w.s.Members() {
+	for _, m := range w.s.Members("", 1000) {
 		if m.Addr == addr {
 			got = m.Reason
 		}
--- a/membership/view.go
+++ b/membership/view.go
@@ -17,7 +17,7 @@
 	if len(s.changed) == 0 {
 		return nil
 	}
-	var out []Change
+	out := make([]Change, 0, len(s.changed))
 	slices.SortFunc(s.changed, func(a, b *node) int { return strings.Compare(a.addr, b.addr) })
 	for _, n := range s.changed {
 		n.touched = false
@@ -42,7 +42,7 @@
 	if best == nil {
 		if n.is {
 			out = s.tell(n, Change{Key: n.key, Name: n.shown.Name, Addr: n.addr, State: Gone, Reason: reason}, out)
-			n.is, n.process = false, ""
+			n.is, n.process = false, process{}
 		}
 		if len(n.claims) == 0 {
 			delete(s.nodes, n.addr)
@@ -124,7 +124,7 @@
 			}
 			continue
 		}
-		why := r.Status.String() + " by " + src.name
+		why := src.says[r.Status]
 		switch {
 		case r.lost:
 			why += ", which lost it with too many others: held"
@@ -163,11 +163,6 @@
 	return a.ID > b.ID
 }
 
-// identity is that of a process: its start counts where it is known.
-func (s *Set) identity(r *record) string {
-	return fmt.Sprintf("%s\x00%s\x00%d", s.sources[r.source].name, r.ID, r.Started)
-}
-
 // owned says whether the process that the node is known by is still what some
 // source takes for the one at its address.
 func (s *Set) owned(n *node) bool {
@@ -178,7 +173,7 @@
 				r = claim
 			}
 		}
-		if r != nil && s.identity(r) == n.process {
+		if r != nil && r.process() == n.process {
 			return true
 		}
 	}
@@ -201,7 +196,7 @@
 		n.freshTo = now + s.cfg.FreshFor
 		n.penalty, n.damped = 0, false
 	}
-	n.process = s.identity(r)
+	n.process = r.process()
 	n.shown = Change{Started: r.Started}
 	if r.Started == 0 && (!first || src.listed) { // it came later than the list: take it for new
 		n.shown.Started = now
@@ -224,10 +219,18 @@
 	Claims []string // each source's instance and what it says
 }
 
-// Members lists the merged view, by address.
-func (s *Set) Members() []Member {
+// Members lists the merged view by address: those behind after, most of them at
+// the most.
+func (s *Set) Members(after string, most int) []Member {
 	var all []Member
-	for _, addr := range slices.Sorted(maps.Keys(s.nodes)) {
+	addrs := make([]string, 0, len(s.nodes))
+	for addr := range s.nodes {
+		if addr > after {
+			addrs = append(addrs, addr)
+		}
+	}
+	slices.Sort(addrs)
+	for _, addr := range addrs[:min(most, len(addrs))] {
 		n := s.nodes[addr]
 		m := Member{Change: n.shown}
 		m.Addr = addr
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"testing"
 	"time"
 
 	"mothridge/policy"
@@ -46,3 +47,33 @@
 	// refuse request 2
 	// send request 1, for at most 920ms
 }
+
+// BenchmarkList takes a first list of n servers, and then deltas of one.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		list := make([]policy.Server, n)
+		for i := range list {
+			list[i] = policy.Server{ID: policy.ServerID(i + 1), Weight: 1, State: policy.Ready}
+		}
+		first := func() *policy.Balancer {
+			m, err := policy.New(policy.Config{Balancers: 1, MaxAttempts: 3, Classes: []policy.Class{{Aim: time.Second, Deadline: time.Second, Worth: 1}}}, 1, sidecar{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Start(0)
+			m.List(0, policy.ListFull, list)
+			return m
+		}
+		b.Run(fmt.Sprint("first/servers=", n), func(b *testing.B) {
+			for range b.N {
+				first()
+			}
+		})
+		b.Run(fmt.Sprint("delta/servers=", n), func(b *testing.B) {
+			m := first()
+			for i := range b.N {
+				m.List(time.Duration(i), policy.ListDelta, list[i%n:i%n+1])
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,8 @@
 	if len(cfg.Tenants) == 0 {
 		cfg.Tenants = []Tenant{{Share: 1}}
 	}
-	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request)}
+	b := &Balancer{cfg: cfg, host: host}
+	b.requests, b.known = make(map[RequestID]*request), make(map[ServerID]*server)
 	b.parts = make([]compartment, len(cfg.Tenants))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	for _, c := range cfg.Classes {
@@ -255,7 +256,7 @@
 
 // Probed takes the result of a probe: for its load report, and for the request that knocked.
 func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
-	s := b.server(id)
+	s := b.known[id]
 	if s != nil && ok && l.InFlight >= 0 {
 		s.toldAt, s.others = now, max(0, l.InFlight-float64(s.out))
 	}
@@ -454,7 +455,12 @@
 	for _, e := range entries {
 		b.enter(now, e)
 	}
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Gone })
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		if s.State == Gone {
+			delete(b.known, s.ID)
+		}
+		return s.State == Gone
+	})
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
@@ -468,10 +474,11 @@
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 		e.Weight = 1 // no weights, even turns
 	}
-	s := b.server(e.ID)
+	s := b.known[e.ID]
 	if s == nil {
 		s = &server{turn: b.rng.Float64() * e.Weight, spare: b.rng.IntN(2) == 0} // balancers must not begin in step
 		b.servers = append(b.servers, s)
+		b.known[e.ID] = s
 	}
 	fresh := e.Started > s.Started
 	s.Server = e
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -375,7 +375,7 @@
 		end(b, now, id, 0, map[bool]Ending{true: NoConnection, false: Served}[h.sends[len(h.sends)-1].to == 1])
 		end(b, now, id, 1, Served)
 	}
-	if !b.server(1).unwell {
+	if !b.known[1].unwell {
 		t.Fatal("no connection, and still held to be well")
 	}
 	before := h.sentTo(1)
@@ -385,8 +385,8 @@
 		ask(b, now, id, safeClass)
 		end(b, now+5*ms, id, 0, Served)
 	}
-	if b.server(1).unwell || h.sentTo(1) < before+10 {
-		t.Fatalf("unwell %v, sends since %d", b.server(1).unwell, h.sentTo(1)-before)
+	if b.known[1].unwell || h.sentTo(1) < before+10 {
+		t.Fatalf("unwell %v, sends since %d", b.known[1].unwell, h.sentTo(1)-before)
 	}
 }
 
@@ -410,9 +410,9 @@
 func TestSlowServerHoldsLess(t *testing.T) {
 	b, _ := start(t, testConfig(), ready(1, 2))
 	for range 50 {
-		b.server(1).used += (0.8*0.8 - b.server(1).used) / 8
+		b.known[1].used += (0.8*0.8 - b.known[1].used) / 8
 	}
-	if slow, well := b.portion(b.server(1)), b.portion(b.server(2)); slow != 1 || well != 4 {
+	if slow, well := b.portion(b.known[1]), b.portion(b.known[2]); slow != 1 || well != 4 {
 		t.Fatalf("portions %v and %v, want 1 and 4", slow, well)
 	}
 }
@@ -503,7 +503,7 @@
 	if len(gaps) < 4 || slices.Max(gaps) >= cfg.AskWithin || gaps[0] >= gaps[len(gaps)-1] {
 		t.Fatalf("gaps between calls %v: want them to grow, and none to reach %v", gaps, cfg.AskWithin)
 	}
-	if b.server(1) == nil {
+	if b.known[1] == nil {
 		t.Fatal("a failed call dropped the old list")
 	}
 	b.List(40*time.Second, ListFull, ready(1))
@@ -873,7 +873,7 @@
 // forgotten at once, servers that are out for a moment would leave the others overrun.
 func TestOverlapOfReplacementsIsForgotten(t *testing.T) {
 	b, _ := start(t, testConfig(), ready(1, 2))
-	portion := func() float64 { return b.portion(b.server(1)) }
+	portion := func() float64 { return b.portion(b.known[1]) }
 	alone := portion()
 	b.List(time.Second, ListFull, ready(1, 2, 3, 4))
 	overlap := portion()
@@ -892,20 +892,20 @@
 	b, h := start(t, testConfig(), ready(1))
 	ask(b, 0, 1, unsafeClass)
 	end(b, ms, 1, 0, Broken)
-	if b.server(1).unwell {
+	if b.known[1].unwell {
 		t.Error("unwell by one broken connection")
 	}
 	ask(b, 2*ms, 2, safeClass)
 	end(b, 3*ms, 2, 0, Served)
 	ask(b, 4*ms, 3, unsafeClass)
 	end(b, 5*ms, 3, 0, Broken)
-	if b.server(1).unwell {
+	if b.known[1].unwell {
 		t.Error("unwell though it answered between two broken connections")
 	}
 	ask(b, 6*ms, 4, unsafeClass)
 	end(b, 7*ms, 4, 0, Broken)
-	if !b.server(1).unwell || len(h.sends) != 4 {
-		t.Errorf("after two in a row: unwell %v, %d sends", b.server(1).unwell, len(h.sends))
+	if !b.known[1].unwell || len(h.sends) != 4 {
+		t.Errorf("after two in a row: unwell %v, %d sends", b.known[1].unwell, len(h.sends))
 	}
 }
 
@@ -918,12 +918,12 @@
 	for id := range RequestID(3) {
 		end(b, ms+time.Duration(id)*100*time.Microsecond, id, 0, Broken)
 	}
-	if len(h.sends) != 3 || b.server(1).unwell {
-		t.Errorf("%d were out as the connections broke, unwell %v", len(h.sends), b.server(1).unwell)
+	if len(h.sends) != 3 || b.known[1].unwell {
+		t.Errorf("%d were out as the connections broke, unwell %v", len(h.sends), b.known[1].unwell)
 	}
 	ask(b, 2*ms, 9, unsafeClass)
 	end(b, 3*ms, 9, 0, Broken)
-	if !b.server(1).unwell {
+	if !b.known[1].unwell {
 		t.Error("well, though the next one broke too")
 	}
 }
@@ -934,7 +934,7 @@
 	cfg := testConfig()
 	cfg.MayProbe, cfg.Reports = true, true
 	b, h := start(t, cfg, ready(1, 2))
-	room := b.part(b.mean, b.server(1))
+	room := b.part(b.mean, b.known[1])
 	for _, id := range []ServerID{1, 2} {
 		b.Probed(0, id, true, Load{InFlight: room + 1})
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -82,13 +82,14 @@
 	classes  []class
 	parts    []compartment
 	requests map[RequestID]*request
-	open     []*request // in order of arrival; ended ones are swept out by Wake
-	servers  []*server  // in the order in which the list named them
-	slots    int        // of all compartments
-	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
-	quota    float64    // of all tenants together
-	weight   float64    // of all ready servers
-	full     float64    // the most of it that there was, followed down
+	open     []*request           // in order of arrival; ended ones are swept out by Wake
+	servers  []*server            // in the order in which the list named them
+	known    map[ServerID]*server // the same, by name
+	slots    int                  // of all compartments
+	mean     float64              // what the slots of all balancers hold while traffic is at the quotas
+	quota    float64              // of all tenants together
+	weight   float64              // of all ready servers
+	full     float64              // the most of it that there was, followed down
 	fullAt   time.Duration
 	well     float64       // of those not judged unwell
 	pace     time.Duration // usual time of an answer, over all classes
@@ -146,16 +147,6 @@
 	return slices.Contains(r.knocked, s)
 }
 
-// server returns the listed server of that name, or nil.
-func (b *Balancer) server(id ServerID) *server {
-	for _, s := range b.servers {
-		if s.ID == id {
-			return s
-		}
-	}
-	return nil
-}
-
 // fullMemory is longer than servers are out for a trouble or a deploy.
 const fullMemory = time.Minute
 
