Write MessagePack-RPC errors as texts for clients whose codec reads no maps

Need: an error may be any object by the specification, and ours is a map; widespread codecs expect nil or a str there, and one loses its connection at the first refusal.

Change: a fault is written as a map or, where the listener's errors are "text", as 'kind [pause_ms=N][: text]'. What a fault says is cut to 1 KiB of UTF-8 without control bytes in both forms.

--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -259,12 +259,12 @@
 	core.Refused: msgrpc.KindRefused, core.Failed: msgrpc.KindFailed, core.TimedOut: msgrpc.KindTimeout, core.Duplicate: msgrpc.KindDuplicate,
 }
 
-func (a *answer) append(b []byte) []byte {
+func (a *answer) append(b []byte, texts bool) []byte {
+	fault := a.fault
 	switch {
 	case a.plain != nil:
 		return append(b, a.plain...)
-	case a.fault != nil:
-		return a.fault.Append(b, a.id)
+	case fault != nil:
 	case a.core.Verdict == core.Served:
 		for name, values := range a.core.Fields { // of the hop, or what no client could read
 			if msgrpc.HopField(name) || !msgrpc.Plain(name) || slices.ContainsFunc(values, func(v string) bool { return !msgrpc.Plain(v) }) {
@@ -274,7 +274,13 @@
 		r := msgrpc.Result{Fields: a.core.Fields, Body: a.core.Body, InFlight: -1}
 		return r.Append(b, a.id)
 	}
-	return (&msgrpc.Fault{Kind: kinds[a.core.Verdict], Pause: a.core.Pause}).Append(b, a.id)
+	if fault == nil {
+		fault = &msgrpc.Fault{Kind: kinds[a.core.Verdict], Pause: a.core.Pause}
+	}
+	if texts {
+		return fault.AppendText(b, a.id)
+	}
+	return fault.Append(b, a.id)
 }
 
 // write is the writer. A client that does not read what it asked for loses its
@@ -291,7 +297,7 @@
 		c.mu.Unlock()
 		size := 0
 		for i := range batch {
-			b = batch[i].append(b)
+			b = batch[i].append(b, c.front.cfg.Texts)
 			size += len(batch[i].core.Body)
 			batch[i] = answer{}
 		}
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -31,6 +31,7 @@
 	Connections int      // the most that are open at once
 	Open        int      // requests of one connection that are taken and not answered; more are refused
 	Held        int      // bytes of answers that wait for one client to read; beyond, its new requests are refused
+	Texts       bool     // errors are written as texts, for codecs that read no maps there
 }
 
 // The defaults of Config.
--- /dev/null
+++ b/internal/msgrpc/fault_test.go
@@ -0,0 +1,59 @@
+package msgrpc
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+	"unicode/utf8"
+
+	"github.com/tinylib/msgp/msgp"
+)
+
+// What is written either way reads back the same, whatever a fault says.
+func TestFaultsBothWays(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	signs := []rune("abc :=äß☃\x00\n\t\x7f\"{}[],.0123456789")
+	for range 2000 {
+		f := &Fault{Kind: kinds[rng.IntN(len(kinds))], Pause: time.Duration(rng.IntN(5000)) * time.Millisecond / 4}
+		for n := rng.IntN(40) * rng.IntN(40); n > 0; n-- {
+			f.Text += string(signs[rng.IntN(len(signs))])
+		}
+		for form, b := range map[string][]byte{"map": f.Append(nil, 7), "text": f.AppendText(nil, 7)} {
+			m, err := Parse(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := ParseFault(m.Fault)
+			if err != nil || got.Kind != f.Kind || got.Pause != f.Pause || got.Text != sayable(f.Text) {
+				t.Fatalf("%s: %q and then %+v, %v", form, f, got, err)
+			}
+			if !utf8.ValidString(got.Text) || strings.ContainsFunc(got.Text, func(r rune) bool { return r < ' ' || r == 0x7f }) {
+				t.Fatalf("%s: it says %q", form, got.Text)
+			}
+		}
+	}
+}
+
+// What other people's codecs send where an error is, and how long a text gets.
+func TestFaultsAsTexts(t *testing.T) {
+	long := strings.Repeat("x\x01", 50_000)
+	for text, want := range map[string]Fault{
+		"refused": {Kind: KindRefused}, "refused pause_ms=120: compartment full": {Kind: KindRefused, Pause: 120 * time.Millisecond, Text: "compartment full"},
+		"not_started: draining": {Kind: KindNotStarted, Text: "draining"}, "failed: a: b": {Kind: KindFailed, Text: "a: b"},
+		"": {Kind: KindError}, "boom": {Kind: KindError, Text: "boom"}, "refused by the gods": {Kind: KindError, Text: "refused by the gods"},
+		"refused pause_ms=NaN": {Kind: KindError, Text: "refused pause_ms=NaN"}, "refused pause_ms=-1": {Kind: KindError, Text: "refused pause_ms=-1"},
+		"refused pause_ms=1e99": {Kind: KindRefused, Pause: time.Hour}, "a\nb": {Kind: KindError, Text: "a b"},
+		long: {Kind: KindError, Text: strings.Repeat("x ", 511)[:1021] + "..."},
+	} {
+		f, err := ParseFault(msgp.AppendString(nil, text))
+		if err != nil || *f != want {
+			t.Errorf("%.60q: %.200v, %v; want %.200v", text, f, err, want)
+		}
+	}
+	if b := (&Fault{Kind: KindRejected, Text: long}).AppendText(nil, 1); len(b) > maxFaultText+100 {
+		t.Errorf("a text of 100 kB is written as %d bytes", len(b))
+	}
+}
