--- a/cmd/mothridge/commands_test.go
+++ b/cmd/mothridge/commands_test.go
@@ -49,13 +49,14 @@
 	}
 	bad := write(t, "bad.toml", "[limits]\nsolts = 3\n")
 	out, errs, code = program(t, "check", bad)
-	if want := fmt.Sprintf("mothridge: %s:2: limits.solts is not known: \"slots\" is meant?\n", bad); code != 1 || out != "" || errs != want {
+	if want := fmt.Sprintf("%s:2:1: limits.solts: it is not known: \"slots\" is meant?\n    solts = 3\n    ^\n", bad); code != 1 || out != "" || errs != want {
 		t.Errorf("a bad file: exit %d, %q, %q; want %q", code, out, errs, want)
 	}
 }
 
 func TestWrongCommandLine(t *testing.T) {
-	for _, args := range [][]string{{"chekc"}, {"check"}, {"try", "--rate", "0"}, {"try", "--duration", "1s"}, {"try", "--protocol", "grpc"}, {"run", "--operator", "/nonexistent"}} {
+	for _, args := range [][]string{{"chekc"}, {"check"}, {"try", "--rate", "0"}, {"try", "--duration", "1s"}, {"try", "--protocol", "grpc"}, {"run", "--operator", "/nonexistent"}, {"standin", "node", "--hang", "101"}, {"standin", "node", "--address", "0.0.0.0:0"},
+		{"run", "--operator", filepath.Join("..", "..", "deploy", "mothridge.toml")}} {
 		out, errs, code := program(t, args...)
 		if code != 1 || out != "" || strings.Count(errs, "\n") != 1 || !strings.HasPrefix(errs, "mothridge: ") {
 			t.Errorf("%v: exit %d, %q, %q; want exit 1 and one line", args, code, out, errs)
@@ -82,6 +83,18 @@
 		"settings":{"balancers":1,"caps":{"most_tries":3},"classes":[{"name":"a","semantics":"single_shot","aim_ms":500,"hard_limit_ms":1000}]}}`)
 	operators := write(t, "mothridge.toml", "[[listener]]\nprotocol = \"msgpack-rpc\"\naddress = \""+addrs[1]+
 		"\"\n[[pool]]\nname = \"records\"\nprotocol = \"msgpack-rpc\"\nhosts = [\"records-*\"]\n")
+	end := startProgram(t, config, operators)
+	for i, p := range []peers.Protocol{peers.HTTP, peers.RPC} {
+		if got := askUntilServed(t, p, addrs[i], peers.Call{Class: "a", Unsafe: true, Timeout: time.Second}); got.Verdict != peers.Served {
+			t.Errorf("over %s: %+v", p, got)
+		}
+	}
+	end()
+}
+
+// startProgram starts the real program; end ends it and checks that it ends well.
+func startProgram(t *testing.T, config, operators string) (end func()) {
+	t.Helper()
 	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
 	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
 	var log bytes.Buffer
@@ -89,25 +102,70 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	for i, p := range []peers.Protocol{peers.HTTP, peers.RPC} {
-		client := peers.NewClient(p, addrs[i])
-		defer client.Close()
-		var got peers.Result
-		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
-			got = client.Do(ctx, peers.Call{ID: fmt.Sprint(p, time.Now().UnixNano()), Class: "a", Unsafe: true, Timeout: time.Second})
-			cancel()
-			if got.Verdict == peers.Served {
-				break
-			}
+	return func() {
+		cmd.Process.Signal(os.Interrupt)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("ended with %v\n%s", err, log.String())
 		}
-		if got.Verdict != peers.Served {
-			t.Errorf("over %s: %+v", p, got)
+	}
+}
+
+// askUntilServed asks until the program is up and serves.
+func askUntilServed(t *testing.T, p peers.Protocol, addr string, c peers.Call) (got peers.Result) {
+	t.Helper()
+	client := peers.NewClient(p, addr)
+	defer client.Close()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		c.ID = fmt.Sprint(p, time.Now().UnixNano())
+		got = client.Do(ctx, c)
+		cancel()
+		if got.Verdict == peers.Served {
+			break
 		}
 	}
-	cmd.Process.Signal(os.Interrupt)
-	if err := cmd.Wait(); err != nil {
-		t.Errorf("ended with %v\n%s", err, log.String())
+	return got
+}
+
+// The examples that are complete run as they stand, but for their addresses: the
+// operators' file alone, and the platform's JSON with one.
+func TestCompleteExamples(t *testing.T) {
+	dir := filepath.Join("..", "..", "deploy", "examples")
+	for name, files := range map[string][2]string{
+		"operators' file alone": {"", "standalone.toml"},
+		"the platform's":        {"platform/config.json", "platform/mothridge.toml"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addrs := freeAddrs(t, 1)
+			real := []string{"127.0.0.1:7070", addrs[0], "/tmp/mothridge-example", filepath.Join(t.TempDir(), "s")}
+			for _, at := range []string{"127.0.0.1:7081", "127.0.0.1:7082"} {
+				n, err := peers.StartNode(peers.HTTP, at, peers.NewLedger(false), peers.Serving)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer n.Close()
+				real = append(real, at, n.Addr())
+			}
+			var paths [2]string
+			for i, file := range files {
+				if file == "" {
+					continue
+				}
+				text, err := os.ReadFile(filepath.Join(dir, file))
+				if err != nil {
+					t.Fatal(err)
+				}
+				paths[i] = write(t, filepath.Base(file), strings.NewReplacer(real...).Replace(string(text)))
+			}
+			end := startProgram(t, paths[0], paths[1])
+			for _, c := range []peers.Call{{Class: "weight-reading", Key: "k"}, {Class: "harvest-entry", Unsafe: true}} {
+				c.Tenant, c.Timeout = "lockyer-keepers", time.Second
+				if got := askUntilServed(t, peers.HTTP, addrs[0], c); got.Verdict != peers.Served {
+					t.Errorf("%s: %+v", c.Class, got)
+				}
+			}
+			end()
+		})
 	}
 }
 
--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -25,10 +26,16 @@
 	} else {
 		err = command(os.Args[1:])
 	}
-	if err != nil {
+	if err == nil {
+		return
+	}
+	var mistakes *operator.Mistakes
+	if errors.As(err, &mistakes) {
+		fmt.Fprintln(os.Stderr, mistakes) // each begins with its place
+	} else {
 		fmt.Fprintln(os.Stderr, "mothridge:", err)
-		os.Exit(1)
 	}
+	os.Exit(1)
 }
 
 // run runs the sidecar until SIGTERM. operators names their file; empty: there is none.
@@ -38,21 +45,38 @@
 	// Unhandled, the signal that says 'read your configuration again' would end the program.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	c, err := sidecar.LoadConfig(os.Getenv)
+	c, err := configure(operators)
 	if err != nil {
 		return err
 	}
-	if operators != "" {
-		f, err := operator.Load(operators)
-		if err != nil {
-			return err
-		}
-		c.Operator = *f
-	}
 	fit(c.Limits)
 	return sidecar.Run(stop, reload, c)
 }
 
+// configure takes what the platform tells and what the operators set, or the
+// latter alone where there is no platform.
+func configure(operators string) (*sidecar.Config, error) {
+	if operators == "" {
+		return sidecar.LoadConfig(os.Getenv)
+	}
+	f, err := operator.Load(operators)
+	if err != nil {
+		return nil, err
+	}
+	if os.Getenv("ROUTER_CONFIG") == "" {
+		return sidecar.FromOperator(f)
+	}
+	if f.Sidecar != nil {
+		return nil, fmt.Errorf("%s has a [sidecar] table and ROUTER_CONFIG is set: one of the two says what this sidecar is", operators)
+	}
+	c, err := sidecar.LoadConfig(os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.Operator = *f
+	return c, nil
+}
+
 // outside is what the process takes beside the runtime's own memory: the
 // program's text, above all. It counts where the limit is small.
 const outside = 12 << 20
--- a/cmd/mothridge/members.go
+++ b/cmd/mothridge/members.go
@@ -6,14 +6,11 @@
 	"io"
 	"net/url"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"text/tabwriter"
 	"time"
 
 	"mothridge/internal/admin"
-	"mothridge/internal/peers"
 	"mothridge/internal/registry/merge"
 )
 
@@ -69,41 +66,3 @@
 	}
 	return w.Flush()
 }
-
-type standinCommand struct {
-	Eureka standinEureka `cmd:"" help:"A Eureka registry by its public REST API, on loopback."`
-}
-
-type standinEureka struct {
-	Address  string        `default:"127.0.0.1:8761" help:"Where to listen, a loopback address."`
-	Lease    time.Duration `default:"90s" help:"How long a lease lasts without renewal."`
-	Duration time.Duration `default:"1h" help:"It ends by itself after this."`
-}
-
-// Run serves until a signal or the end of its time.
-func (c *standinEureka) Run() error {
-	if !strings.HasPrefix(c.Address, "127.") && !strings.HasPrefix(c.Address, "[::1]") {
-		return fmt.Errorf("--address %s: a loopback address is meant: the stand-in asks nobody who he is", c.Address)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	e, err := peers.StartEureka(c.Address)
-	if err != nil {
-		return err
-	}
-	defer e.Close()
-	e.Lease(c.Lease)
-	fmt.Printf("a stand-in Eureka registry at %s for %v\n\n", e.URL(), c.Duration)
-	fmt.Printf("register   curl -X POST -H 'Content-Type: application/json' %s/apps/RECORDS -d \\\n", e.URL())
-	fmt.Println(`             '{"instance":{"instanceId":"r1","hostName":"127.0.0.1","app":"RECORDS","ipAddr":"127.0.0.1","status":"UP","port":{"$":8080,"@enabled":"true"},"dataCenterInfo":{"name":"MyOwn"}}}'`)
-	fmt.Printf("take out   curl -X PUT '%s/apps/RECORDS/r1/status?value=OUT_OF_SERVICE'\n", e.URL())
-	fmt.Printf("put back   curl -X DELETE '%s/apps/RECORDS/r1/status?value=UP'\n", e.URL())
-	fmt.Printf("look       curl -H 'Accept: application/json' %s/apps\n", e.URL())
-	t := time.NewTimer(c.Duration)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-	return nil
-}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -95,8 +95,8 @@
 }
 
 func (s *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	if status := framing(hr); status != 0 {
-		reject(w, hr, status)
+	if wrong := framing(hr); wrong != nil {
+		reject(w, hr, wrong)
 		return
 	}
 	if hr.URL.Path == "/health/ready" {
@@ -110,9 +110,9 @@
 	c := hr.Context().Value(connKey{}).(*clientConn)
 	c.requests++
 	answers := make(chan core.Answer, 1) // never blocks the core
-	r, status := s.read(w, hr, c)
-	if r == nil {
-		reject(w, hr, status)
+	r, wrong := s.read(w, hr, c)
+	if wrong != nil {
+		reject(w, hr, wrong)
 		return
 	}
 	if !c.take() {
@@ -132,17 +132,23 @@
 	s.write(w, a)
 }
 
+// rejection says why a request is not taken, and what would be right.
+type rejection struct {
+	status int
+	text   string
+}
+
 // reject answers a request that is not taken and ends its connection: what else
 // waits there may be its body. That is not read before the answer, as it may be
 // of any size or never come. A connection that is closed with bytes unread is
 // reset, and the client may lose the answer: some of the rest is read after it.
-func reject(w http.ResponseWriter, hr *http.Request, status int) {
-	text := http.StatusText(status)
+func reject(w http.ResponseWriter, hr *http.Request, why *rejection) {
+	text := http.StatusText(why.status) + ": " + why.text + "\n"
 	h := w.Header()
 	h.Set("Connection", "close")
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	w.WriteHeader(status)
+	w.WriteHeader(why.status)
 	io.WriteString(w, text)
 	rc := http.NewResponseController(w)
 	rc.Flush()
@@ -150,50 +156,53 @@
 	io.CopyN(io.Discard, hr.Body, http1.MaxBody)
 }
 
-// framing names the status for a request whose length is not certain, or 0.
+// framing rejects a request whose length is not certain.
 // net/http drops the Content-Length beside a Transfer-Encoding: two readers of
 // such a request may see it end in two places, and what stands between them in
 // one's body is the other's next request. None of it may go on.
-func framing(hr *http.Request) int {
+func framing(hr *http.Request) *rejection {
 	switch {
 	case !hr.ProtoAtLeast(1, 1): // there net/http drops a Transfer-Encoding in silence
-		return http.StatusHTTPVersionNotSupported
+		return &rejection{http.StatusHTTPVersionNotSupported, "version 1.1 is spoken here"}
 	case len(hr.TransferEncoding) > 0:
-		return http.StatusLengthRequired
+		return &rejection{http.StatusLengthRequired, "one Content-Length is needed, and no Transfer-Encoding"}
 	case hr.ContentLength > http1.MaxBody:
-		return http.StatusRequestEntityTooLarge
+		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of %d bytes, %d at most", hr.ContentLength, http1.MaxBody)}
 	}
-	return 0
+	return nil
 }
 
-// read takes a request in, or names the status that it is rejected with. It
-// reads no body before all else is known to be right.
-func (s *Front) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*core.Request, int) {
-	const bad = http.StatusBadRequest
+// read takes a request in, or says why it is rejected. It reads no body before
+// all else is known to be right.
+func (s *Front) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*core.Request, *rejection) {
 	arrival := time.Now()
+	bad := func(text string) (*core.Request, *rejection) { return nil, &rejection{http.StatusBadRequest, text} }
 	h := hr.Header
 	http1.DropHopByHop(h) // first of all: a field that is needed below may not go on if it is named as a hop's own
-	name, ok1 := single(h, "Request-Id")
-	className, ok2 := single(h, "Request-Class")
-	timeoutText, ok3 := single(h, "Request-Timeout")
-	class, ok4 := s.classes[className]
 	// A target may be no path, and so cannot go on unchanged.
 	if hr.Host == "" || !strings.HasPrefix(hr.URL.Path, "/") {
-		return nil, bad
+		return bad("a Host and a target that is a path are needed")
 	}
-	if !ok1 || !ok2 || !ok3 || !ok4 || len(name) > maxName || strings.ContainsFunc(name, unprintable) {
-		return nil, bad
+	name, ok := single(h, "Request-Id")
+	if !ok || len(name) > maxName || strings.ContainsFunc(name, unprintable) {
+		return bad(fmt.Sprintf("one Request-Id is needed: 1 to %d bytes of printable ASCII without blanks, new with every try", maxName))
+	}
+	className, _ := single(h, "Request-Class")
+	class, ok := s.classes[className]
+	if !ok {
+		return bad("one Request-Class is needed, by a name that the configuration has")
 	}
 	tenant := 0
 	if len(s.tenants) > 0 {
-		tenantName, ok := single(h, "Tenant")
+		tenantName, _ := single(h, "Tenant")
 		if tenant, ok = s.tenants[tenantName]; !ok {
-			return nil, bad
+			return bad("one Tenant is needed, by a name that the configuration has")
 		}
 	}
+	timeoutText, _ := single(h, "Request-Timeout")
 	timeout, ok := parseTimeout(timeoutText)
 	if !ok {
-		return nil, bad
+		return bad("one Request-Timeout is needed: how long the client will wait, in seconds, such as 0.480")
 	}
 	// The method and the key follow from the class. A keyed request without its
 	// key could not be recognised as a repeat.
@@ -203,26 +212,29 @@
 		method = http.MethodGet
 	}
 	if hr.Method != method {
-		return nil, http.StatusMethodNotAllowed
+		return nil, &rejection{http.StatusMethodNotAllowed, method + " is the method of this class"}
 	}
 	if _, keyed := single(h, "Idempotency-Key"); keyed != (effect == policy.Keyed) || len(h["Idempotency-Key"]) > 1 {
-		return nil, bad
+		if effect == policy.Keyed {
+			return bad("one Idempotency-Key is needed: without it a repeat could not be told from a new request")
+		}
+		return bad("requests of this class have no Idempotency-Key")
 	}
 	if effect == policy.Safe && hr.ContentLength > 0 {
-		return nil, bad
+		return bad("requests of a class that is safe to repeat have no body")
 	}
 	if s.core.Holds(name) {
-		return nil, http.StatusConflict
+		return nil, &rejection{http.StatusConflict, "a request of this Request-Id is held"}
 	}
 	body, err := readRequestBody(w, hr, c.bodyBy(arrival))
 	if err != nil {
-		return nil, bad
+		return bad("the body was not whole in time")
 	}
 	return &core.Request{
 		ID: name, Class: class, Tenant: tenant, Repeat: h.Get("Client-Retry") == "1", Work: workHint(h),
 		Until:   arrival.Add(max(0, timeout-core.AnswerMargin)),
 		Message: core.Message{Method: method, Target: hr.URL.RequestURI(), Host: hr.Host, Fields: h, Body: body},
-	}, 0
+	}, nil
 }
 
 // single returns a header field that must be there exactly once.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,22 +1,26 @@
 // Package operator reads the operators' file (deploy/mothridge.toml): all that
 // is set beyond what the platform tells a sidecar. Each subsystem owns a table.
-// What is absent is off. The file is read strictly: whatever is not understood
-// is an error of one line that names the file, the line and what was meant.
+// What is absent is off. The file is read strictly, and all that is wrong with it
+// is told at once, each with its place and what would be right.
 package operator
 
 import (
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"path"
+	"reflect"
+	"slices"
+	"strconv"
 	"strings"
-
-	"github.com/pelletier/go-toml/v2"
 )
 
 // File is the operators' file.
 type File struct {
+	Sidecar *Sidecar `toml:"sidecar"` // nil: the platform tells it
+	Classes []Class  `toml:"class"`
+	Tenants []Tenant `toml:"tenant"`
+
 	Admin     Admin      `toml:"admin"`
 	Limits    Limits     `toml:"limits"`
 	Listeners []Listener `toml:"listener"`
@@ -37,14 +41,20 @@
 	// Slots is how many requests may be out at once, over all tenants, in place
 	// of the number that the settings give; 0 leaves that in force.
 	Slots Count `toml:"slots"`
+
+	// The rest is the platform's to tell where there is one: see Sidecar.
+	Sockets  Count   `toml:"sockets"`   // file descriptors; 0: 1024
+	MemoryMB Count   `toml:"memory_mb"` // 0: no limit
+	Cores    float64 `toml:"cores"`     // 0: all
 }
 
 // Listener is one more place where clients connect, beside the platform's own.
 type Listener struct {
 	Protocol Protocol `toml:"protocol"`
 	Address  Address  `toml:"address"`
-	Open     Count    `toml:"open"` // msgpack-rpc: requests of one connection that are taken and not answered
-	Held     Count    `toml:"held"` // msgpack-rpc: bytes of answers that wait for one client
+	Open     Count    `toml:"open"`   // msgpack-rpc: requests of one connection that are taken and not answered
+	Held     Count    `toml:"held"`   // msgpack-rpc: bytes of answers that wait for one client
+	Errors   Errors   `toml:"errors"` // msgpack-rpc
 }
 
 // Pool is a set of nodes and how they are reached. A node belongs to the first
@@ -67,21 +77,41 @@
 	RPC  Protocol = "msgpack-rpc"
 )
 
-func (p Protocol) check() error {
-	switch p {
-	case HTTP, RPC, "": // whether one may be absent is for its table to say
+func (p Protocol) check() error { return oneOf(string(p), string(HTTP), string(RPC)) }
+
+// oneOf checks a word. Whether there may be none is for its table to say.
+func oneOf(word string, known ...string) error {
+	if word == "" || slices.Contains(known, word) {
 		return nil
 	}
-	return fmt.Errorf("protocol %q is not known: %q or %q is meant", string(p), HTTP, RPC)
+	quoted := make([]string, len(known))
+	for i, k := range known {
+		quoted[i] = strconv.Quote(k)
+	}
+	last := len(quoted) - 1
+	return fmt.Errorf("%.60q is not known: %s or %s is meant", word, strings.Join(quoted[:last], ", "), quoted[last])
 }
 
+// Errors says how a MessagePack-RPC listener writes errors.
+type Errors string
+
+// The ways to write errors; "" is ErrorMaps.
+const (
+	ErrorMaps  Errors = "map"
+	ErrorTexts Errors = "text" // for codecs that read no map there
+)
+
+func (e Errors) check() error { return oneOf(string(e), string(ErrorMaps), string(ErrorTexts)) }
+
 // Address is an IP address and a port.
 type Address string
 
+func (Address) meant() string { return `an IP address with its port, such as "127.0.0.1:7071"` }
+
 func (a Address) check() error {
 	ap, err := netip.ParseAddrPort(string(a))
 	if a != "" && (err != nil || ap.Port() == 0) {
-		return fmt.Errorf("address %q: an IP address and a port are meant, such as \"127.0.0.1:7071\"", string(a))
+		return fmt.Errorf("%s is meant, not %.60q", a.meant(), string(a))
 	}
 	return nil
 }
@@ -89,9 +119,13 @@
 // Pattern is a shell pattern for names: * stands for any text, ? for one sign.
 type Pattern string
 
+func (Pattern) meant() string {
+	return "a name in quotes, in which * stands for any text and [ab] for one of two signs"
+}
+
 func (p Pattern) check() error {
 	if _, err := path.Match(string(p), ""); err != nil || p == "" {
-		return fmt.Errorf("pattern %q: a name is meant, in which * stands for any text and [ab] for one of two signs", string(p))
+		return fmt.Errorf("%s is meant, not %.60q", p.meant(), string(p))
 	}
 	return nil
 }
@@ -99,6 +133,15 @@
 // Count is a number of 0 or more; 0 stands for the default.
 type Count int
 
+func (Count) meant() string { return "a whole number, such as 64" }
+
+func (c Count) check() error {
+	if c < 0 || c > maxCount {
+		return fmt.Errorf("%d is out of range: a whole number from 0 (the default) to %d is meant", c, maxCount)
+	}
+	return nil
+}
+
 // maxSocket is what a Unix socket's address holds (unix(7)), less the final 0.
 const maxSocket = 107
 
@@ -129,7 +172,10 @@
 	return false
 }
 
-// Load reads and checks a file.
+// maxFile bounds what is read of a file.
+const maxFile = 1 << 20
+
+// Load reads and checks a file. An error of the file's text is Mistakes.
 func Load(name string) (*File, error) {
 	text, err := os.ReadFile(name)
 	if err != nil {
@@ -138,108 +184,95 @@
 	return Parse(name, text)
 }
 
-// Parse checks a text; name stands in errors for the file's.
+// Parse checks a text; name stands in errors for the file's. All that is wrong
+// is told at once, as Mistakes.
 func Parse(name string, text []byte) (*File, error) {
-	f := new(File)
-	d := toml.NewDecoder(strings.NewReader(string(text)))
-	d.DisallowUnknownFields()
-	at, positions := newPlaces(text)
-	if err := d.Decode(f); err != nil {
-		return nil, explain(name, text, at, err)
+	if len(text) > maxFile {
+		return nil, fmt.Errorf("%s: a file of %d bytes: %d at most", name, len(text), maxFile)
 	}
-	if positions != nil {
-		return nil, fmt.Errorf("%s: %w", name, positions)
+	notes := newFaults(text)
+	f := new(File)
+	if root, whole := parse(text, notes); whole {
+		d := &decoder{faults: notes, places: make(map[string]int)}
+		d.table(root, reflect.ValueOf(f).Elem(), "")
+		f.check(d)
 	}
-	if where, err := f.check(); err != nil {
-		return nil, fmt.Errorf("%s:%d: %w", name, at.line(where), err)
+	if err := notes.err(name); err != nil {
+		return nil, err
 	}
 	return f, nil
 }
 
-// check looks at what one value alone cannot tell; where names the value at fault.
-func (f *File) check() (where string, err error) {
+// check looks at what one value alone cannot tell.
+func (f *File) check(d *decoder) {
 	if len(f.Admin.Socket) > maxSocket {
-		return "admin.socket", fmt.Errorf("socket is a path of %d bytes: a Unix socket's has %d at most", len(f.Admin.Socket), maxSocket)
-	}
-	if where, err := checkCount("limits.slots", f.Limits.Slots); err != nil {
-		return where, err
+		d.wrong("admin.socket", "a path of %d bytes: a Unix socket's has %d at most", len(f.Admin.Socket), maxSocket)
 	}
 	addresses := make(map[Address]int)
 	for i := range f.Listeners {
 		l, at := &f.Listeners[i], fmt.Sprintf("listener[%d]", i)
-		if err := l.Protocol.check(); err != nil {
-			return at + ".protocol", err
-		}
-		if err := l.Address.check(); err != nil {
-			return at + ".address", err
-		}
-		switch {
-		case l.Protocol == "":
-			return at, fmt.Errorf("this listener has no protocol: %q or %q is meant", HTTP, RPC)
-		case l.Address == "":
-			return at, errors.New("this listener has no address: an IP address and a port are meant, such as \"127.0.0.1:7071\"")
-		case l.Protocol == HTTP && l.Open != 0:
-			return at + ".open", errors.New("open is for listeners of msgpack-rpc: an HTTP/1.1 connection has one request at a time")
-		case l.Protocol == HTTP && l.Held != 0:
-			return at + ".held", errors.New("held is for listeners of msgpack-rpc: an HTTP/1.1 connection has one request at a time")
+		d.needs(at, "protocol", l.Protocol == "", "%q or %q is meant", HTTP, RPC)
+		d.needs(at, "address", l.Address == "", "%s is meant", l.Address.meant())
+		if l.Protocol == HTTP {
+			for key, set := range map[string]bool{"open": l.Open != 0, "held": l.Held != 0, "errors": l.Errors != ""} {
+				if set {
+					d.wrong(at+"."+key, "this is for listeners of msgpack-rpc: an HTTP/1.1 connection has one request at a time")
+				}
+			}
 		}
-		if other, ok := addresses[l.Address]; ok {
-			return at + ".address", fmt.Errorf("listener %d has the address %s already: each needs its own", other+1, l.Address)
+		if other, ok := addresses[l.Address]; ok && l.Address != "" {
+			d.wrong(at+".address", "listener %d has the address %s already: each needs its own", other+1, l.Address)
 		}
 		addresses[l.Address] = i
-		for key, n := range map[string]Count{".open": l.Open, ".held": l.Held} {
-			if where, err := checkCount(at+key, n); err != nil {
-				return where, err
-			}
-		}
 	}
 	names := make(map[string]int)
 	for i := range f.Pools {
 		p, at := &f.Pools[i], fmt.Sprintf("pool[%d]", i)
-		if err := p.Protocol.check(); err != nil {
-			return at + ".protocol", err
-		}
-		for key, patterns := range map[string][]Pattern{".hosts": p.Hosts, ".sites": p.Sites, ".kinds": p.Kinds} {
-			for _, pattern := range patterns {
-				if err := pattern.check(); err != nil {
-					return at + key, err
-				}
-			}
-		}
-		switch {
-		case p.Name == "":
-			return at, errors.New("this pool has no name")
-		case p.Protocol == "":
-			return at, fmt.Errorf("pool %q has no protocol: %q or %q is meant", p.Name, HTTP, RPC)
-		case p.Protocol == HTTP && p.Outstanding != 0:
-			return at + ".outstanding", errors.New("outstanding is for pools of msgpack-rpc: an HTTP/1.1 connection has one request at a time")
+		d.needs(at, "name", p.Name == "", "a name of its own is meant")
+		d.needs(at, "protocol", p.Protocol == "", "%q or %q is meant", HTTP, RPC)
+		if p.Protocol == HTTP && p.Outstanding != 0 {
+			d.wrong(at+".outstanding", "this is for pools of msgpack-rpc: an HTTP/1.1 connection has one request at a time")
 		}
-		if other, ok := names[p.Name]; ok {
-			return at + ".name", fmt.Errorf("pool %d is named %q already: each needs its own name", other+1, p.Name)
+		if other, ok := names[p.Name]; ok && p.Name != "" {
+			d.wrong(at+".name", "pool %d is named %q already: each needs its own name", other+1, p.Name)
 		}
 		names[p.Name] = i
-		if where, err := checkCount(at+".outstanding", p.Outstanding); err != nil {
-			return where, err
-		}
-		if i > 0 && f.Pools[i-1].everything() {
-			return at, fmt.Errorf("pool %q never gets a node: pool %q before it matches all", p.Name, f.Pools[i-1].Name)
+		if i > 0 && f.Pools[i-1].everything() && p.Name != "" {
+			d.wrong(at, "pool %q never gets a node: pool %q before it matches all", p.Name, f.Pools[i-1].Name)
 		}
 	}
-	return f.checkSources()
+	f.checkSources(d)
+	f.checkStandalone(d)
 }
 
-func (p *Pool) everything() bool { return len(p.Hosts)+len(p.Sites)+len(p.Kinds) == 0 }
+// needs notes that a table lacks a key. One that is there and wrong has been noted.
+func (d *decoder) needs(at, key string, missing bool, format string, args ...any) {
+	if _, there := d.places[at+"."+key]; missing && !there {
+		d.wrong(at, "%s is missing: "+format, append([]any{key}, args...)...)
+	} else if missing && !d.noted(at+"."+key) {
+		d.wrong(at+"."+key, "it is empty: "+format, args...)
+	}
+}
 
-func checkCount(where string, n Count) (string, error) {
-	if n < 0 || n > maxCount {
-		return where, fmt.Errorf("%s is %d: a number from 0 (the default) to %d is meant", where[strings.LastIndexByte(where, '.')+1:], n, maxCount)
+// noted says whether anything is wrong with a value already.
+func (d *decoder) noted(path string) bool {
+	for i := range d.all {
+		if d.all[i].Key == path {
+			return true
+		}
 	}
-	return "", nil
+	return false
 }
 
+func (p *Pool) everything() bool { return len(p.Hosts)+len(p.Sites)+len(p.Kinds) == 0 }
+
 // Summary says in a line what the file sets.
 func (f *File) Summary() string {
-	parts := []string{fmt.Sprintf("%d more listeners", len(f.Listeners)), fmt.Sprintf("%d pools", len(f.Pools))}
+	var parts []string
+	if f.Sidecar != nil {
+		parts = append(parts, "a sidecar at "+string(f.Sidecar.Listen), fmt.Sprintf("%d classes", len(f.Classes)), fmt.Sprintf("%d tenants", len(f.Tenants)))
+	}
+	parts = append(parts, fmt.Sprintf("%d more listeners", len(f.Listeners)), fmt.Sprintf("%d pools", len(f.Pools)))
 	if f.Merges() {
 		parts = append(parts, fmt.Sprintf("%d Eureka registries", len(f.Eureka)), fmt.Sprintf("%d fixed lists", len(f.Static)))
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,6 +1,9 @@
 package operator
 
 import (
+	"bytes"
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -8,6 +11,8 @@
 	"testing"
 )
 
+var update = flag.Bool("update", false, "write what broken files give as what they should give")
+
 // The files under deploy/ are good, and mean what they say.
 func TestExamples(t *testing.T) {
 	deploy := filepath.Join("..", "..", "deploy")
@@ -15,11 +20,12 @@
 	if err != nil || len(empty.Listeners)+len(empty.Pools) != 0 || empty.Limits.Slots != 0 {
 		t.Errorf("mothridge.toml sets %+v, %v; it should set nothing", empty, err)
 	}
-	examples, err := filepath.Glob(filepath.Join(deploy, "examples", "*.toml"))
-	if err != nil || len(examples) == 0 {
-		t.Fatalf("no examples, %v", err)
+	examples, _ := filepath.Glob(filepath.Join(deploy, "examples", "*.toml"))
+	more, _ := filepath.Glob(filepath.Join(deploy, "examples", "*", "*.toml"))
+	if len(examples) == 0 || len(more) == 0 {
+		t.Fatalf("%d and %d examples", len(examples), len(more))
 	}
-	for _, name := range examples {
+	for _, name := range append(examples, more...) {
 		if _, err := Load(name); err != nil {
 			t.Error(err)
 		}
@@ -34,79 +40,111 @@
 	}
 }
 
-// Each broken file gives one line that names the file, the line and what was meant.
+// Each broken file tells all that is wrong with it, as its .want file has it.
 func TestBrokenFiles(t *testing.T) {
-	const listener = "[[listener]]\nprotocol = \"msgpack-rpc\"\naddress = \"127.0.0.1:7071\"\n"
-	for text, want := range map[string]string{
-		"[[listner]]\nx = 1\n":                                                     `:1: listner is not known: "listener" is meant?`,
-		listener + "opne = 3\n":                                                    `:4: listener.opne is not known: "open" is meant?`,
-		listener + "colour = 3\n":                                                  `:4: listener.colour is not known`,
-		"[limits]\nslots = \"many\"\n":                                             `:2: `,
-		"[limits]\nslots = -1\n":                                                   `:2: slots is -1: a number from 0`,
-		"[limits]\nslots = 1.5\n":                                                  `:2: `,
-		"[limits]\n\n\nslots = 99999999999\n":                                      `:4: slots is 99999999999: a number from 0`,
-		"[[listener]]\nprotocol = \"grpc\"\n":                                      `:2: protocol "grpc" is not known: "http" or "msgpack-rpc" is meant`,
-		"[[listener]]\nprotocol = \"http\"\naddress = \"host:80\"\n":               `:3: address "host:80": an IP address and a port are meant`,
-		"[[listener]]\naddress = \"127.0.0.1:1\"\n":                                `:1: this listener has no protocol`,
-		"\n[[listener]]\nprotocol = \"http\"\n":                                    `:2: this listener has no address`,
-		listener + "\n" + listener:                                                 `:7: listener 1 has the address 127.0.0.1:7071 already`,
-		"[[listener]]\nprotocol = \"http\"\naddress = \"127.0.0.1:1\"\nopen = 3\n": `:4: open is for listeners of msgpack-rpc`,
-		listener + "held = -3\n":                                                   `:4: held is -3`,
-		"[[pool]]\nprotocol = \"http\"\n":                                          `:1: this pool has no name`,
-		"[[pool]]\nname = \"a\"\n":                                                 `:1: pool "a" has no protocol`,
-		"[[pool]]\nname = \"a\"\nprotocol = \"http\"\noutstanding = 3\n":           `:4: outstanding is for pools of msgpack-rpc`,
-		"[[pool]]\nname = \"a\"\nprotocol = \"http\"\nhosts = [\"[\"]\n":           `:4: pattern "["`,
-		"[[pool]]\nname = \"a\"\nprotocol = \"http\"\nhosts = \"x\"\n":             `:4: `,
-		"[[pool]]\nname=\"a\"\nprotocol=\"http\"\nhosts=[\"x\"]\n[[pool]]\nname=\"a\"\nprotocol=\"http\"\n": `:6: pool 1 is named "a" already`,
-		"[[pool]]\nname=\"a\"\nprotocol=\"http\"\n[[pool]]\nname=\"b\"\nprotocol=\"http\"\n":                `:4: pool "b" never gets a node`,
-		"limits = 3\n":            `:1: `,
-		"[limits\n":               `:1: `,
-		"[limits]\n[limits]\n":    `:2: `,
-		"a = \"unfinished\nb=1":   `:1: `,
-		"\x00":                    `:1: `,
-		"[[pool]]\nname = 3\n":    `:2: `,
-		"[[pool]]\nhosts = [3]\n": `:2: `,
-	} {
-		_, err := Parse("f.toml", []byte(text))
-		if err == nil {
-			t.Errorf("%q: no error, want f.toml%s", text, want)
-		} else if got := err.Error(); !strings.HasPrefix(got, "f.toml"+want) || strings.ContainsAny(got, "\n\r") {
-			t.Errorf("%q:\n got %q\nwant f.toml%s...", text, got, want)
+	files, err := filepath.Glob(filepath.Join("testdata", "broken", "*.toml"))
+	if err != nil || len(files) < 60 {
+		t.Fatalf("%d broken files, %v", len(files), err)
+	}
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = Parse(filepath.Base(name), text)
+		var m *Mistakes
+		if !errors.As(err, &m) {
+			t.Errorf("%s: %v; want mistakes", name, err)
+			continue
+		}
+		got, wanted := m.Error()+"\n", strings.TrimSuffix(name, ".toml")+".want"
+		if *update {
+			if err := os.WriteFile(wanted, []byte(got), 0o644); err != nil {
+				t.Fatal(err)
+			}
 		}
+		want, err := os.ReadFile(wanted)
+		if err != nil || got != string(want) {
+			t.Errorf("%s: %v\n got %swant %s", name, err, got, want)
+		}
+		sane(t, text, m)
 	}
-	if _, err := Load(filepath.Join(t.TempDir(), "none.toml")); !os.IsNotExist(unwrap(err)) {
+	if _, err := Load(filepath.Join(t.TempDir(), "none.toml")); !errors.Is(err, os.ErrNotExist) {
 		t.Errorf("a missing file: %v", err)
 	}
+	if _, err := Parse("f", bytes.Repeat([]byte("#"), maxFile+1)); err == nil || !strings.Contains(err.Error(), "at most") {
+		t.Errorf("a huge file: %v", err)
+	}
+}
+
+// sane checks what holds for any mistakes: each has its place in the text, in
+// order, is one line, and speaks of nothing that only this program's authors know.
+func sane(t *testing.T, text []byte, m *Mistakes) {
+	t.Helper()
+	lines, last := bytes.Split(text, []byte("\n")), 1
+	for _, x := range m.List {
+		if x.Line < last || x.Line > len(lines) || x.Column < 1 || x.Column > len(lines[x.Line-1])+1 || x.Text == "" {
+			t.Errorf("%q: %+v", text, x)
+		}
+		last = x.Line
+		for _, word := range []string{"\n", "struct", "operator.", "int64", "float64", "reflect"} {
+			if strings.Contains(x.Text, word) && !bytes.Contains(text, []byte(word)) {
+				t.Errorf("%q: %q says %q", text, x.Text, word)
+			}
+		}
+	}
+	if len(m.List) == 0 {
+		t.Errorf("%q: mistakes without one", text)
+	}
 }
 
-func unwrap(err error) error {
-	for {
-		u, ok := err.(interface{ Unwrap() error })
-		if !ok {
-			return err
+// A thousand mistakes are a thousand messages; a thousand lines that are no TOML too.
+func TestAThousandMistakes(t *testing.T) {
+	for _, line := range []string{"x%d = 1\n", "[[pool]]\nnaem = %d\nname = \"n%[1]d\"\nprotocol = \"http\"\nhosts=[\"x\"]\n", "%d d\n"} {
+		var text strings.Builder
+		for i := range 1000 {
+			fmt.Fprintf(&text, line, i)
 		}
-		if os.IsNotExist(err) {
-			return err
+		_, err := Parse("f", []byte(text.String()))
+		var m *Mistakes
+		if !errors.As(err, &m) || len(m.List) != 1000 {
+			t.Errorf("%q: %d mistakes, %.300v", line, len(m.List), err)
 		}
-		err = u.Unwrap()
 	}
 }
 
-// Any text: no panic, and one line where it is wrong.
+// Any text: no panic, and mistakes that have their place.
 func FuzzParse(f *testing.F) {
-	f.Add("[limits]\nslots = 3\n")
-	f.Add("[[listener]]\nprotocol = \"msgpack-rpc\"\naddress = \"127.0.0.1:7071\"\n")
-	f.Add("[[pool]]\nname = \"a\"\nprotocol = \"http\"\nhosts = [\"a*\", \"[\"]\n")
-	f.Add("a.b.c = {d = [1, {e = 2}]}\n[x.y]\n[[x.z]]")
-	f.Fuzz(func(t *testing.T, text string) {
-		if _, err := Parse("f", []byte(text)); err != nil && (strings.Contains(err.Error(), "\n") || !strings.HasPrefix(err.Error(), "f:")) {
-			t.Errorf("%q: %q is not one line that names its place", text, err)
+	files, _ := filepath.Glob(filepath.Join("testdata", "broken", "*.toml"))
+	examples, _ := filepath.Glob(filepath.Join("..", "..", "deploy", "examples", "*.toml"))
+	for _, name := range append(files, examples...) {
+		if text, err := os.ReadFile(name); err == nil {
+			f.Add(text)
+		}
+	}
+	f.Add([]byte("a.b.c = {d = [1, {e = 2}]}\n[x.y]\n[[x.z]]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, err := Parse("f", text)
+		var m *Mistakes
+		if errors.As(err, &m) {
+			sane(t, text, m)
+		} else if err != nil {
+			t.Errorf("%q: %v", text, err)
 		}
 	})
 }
 
 func ExampleParse() {
-	_, err := Parse("deploy/mothridge.toml", []byte("[[listener]]\nprotocol = \"msgpack\"\n"))
+	_, err := Parse("deploy/mothridge.toml", []byte("[[listener]]\nprotocol = \"msgpack\"\nadress = \"127.0.0.1:7071\"\n"))
 	fmt.Println(err)
-	// Output: deploy/mothridge.toml:2: protocol "msgpack" is not known: "http" or "msgpack-rpc" is meant
+	// Output:
+	// deploy/mothridge.toml:1:3: listener[0]: address is missing: an IP address with its port, such as "127.0.0.1:7071" is meant
+	//     [[listener]]
+	//       ^
+	// deploy/mothridge.toml:2:12: listener[0].protocol: "msgpack" is not known: "http" or "msgpack-rpc" is meant
+	//     protocol = "msgpack"
+	//                ^
+	// deploy/mothridge.toml:3:1: listener[0].adress: it is not known: "address" is meant?
+	//     adress = "127.0.0.1:7071"
+	//     ^
 }
--- a/internal/operator/sources.go
+++ b/internal/operator/sources.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"errors"
 	"fmt"
 	"net/url"
 	"time"
@@ -11,7 +10,7 @@
 // source beside the platform's discovery.
 type Membership struct {
 	Platform  *bool    `toml:"platform"` // false: the platform's discovery is not a source
-	MaxLoss   float64  `toml:"max_loss"` // share of a source's instances that may vanish within loss_window
+	MaxLoss   Share    `toml:"max_loss"` // share of a source's instances that may vanish within loss_window
 	Window    Duration `toml:"loss_window"`
 	HoldFor   Duration `toml:"hold_for"`     // a greater loss is believed after this
 	Silent    Duration `toml:"silent_after"` // without an answer this long a source is distrusted
@@ -24,10 +23,10 @@
 // Eureka is a Eureka registry as a source of the list.
 type Eureka struct {
 	Name     string   `toml:"name"`
-	Replicas []string `toml:"replicas"` // base URLs, the preferred one first
+	Replicas []URL    `toml:"replicas"` // base URLs, the preferred one first
 	Apps     []string `toml:"apps"`
 	VIPs     []string `toml:"vips"`
-	Format   string   `toml:"format"` // json or xml
+	Format   Format   `toml:"format"` // json or xml
 	Interval Duration `toml:"interval"`
 	Timeout  Duration `toml:"timeout"`
 	MostMB   Count    `toml:"most_mb"`
@@ -59,17 +58,19 @@
 
 // Static is a list that does not change.
 type Static struct {
-	Name  string   `toml:"name"`
-	Nodes []string `toml:"nodes"` // addresses
-	Site  string   `toml:"site"`
-	Kind  string   `toml:"kind"`
+	Name  string    `toml:"name"`
+	Nodes []Address `toml:"nodes"` // addresses
+	Site  string    `toml:"site"`
+	Kind  string    `toml:"kind"`
 }
 
 // Merges says whether there is a source beside the platform's discovery.
 func (f *File) Merges() bool { return len(f.Eureka)+len(f.Static) > 0 }
 
 // UsesPlatform says whether the platform's discovery is a source.
-func (m *Membership) UsesPlatform() bool { return m.Platform == nil || *m.Platform }
+func (f *File) UsesPlatform() bool {
+	return f.Sidecar == nil && (f.Membership.Platform == nil || *f.Membership.Platform)
+}
 
 // Duration is a time with its unit, such as "5s" or "200ms"; empty stands for
 // the default.
@@ -84,95 +85,93 @@
 	return v
 }
 
-func (d Duration) check(key string) error {
+func (Duration) meant() string { return `a time with its unit, such as "5s" or "200ms"` }
+
+func (d Duration) check() error {
 	if d == "" {
 		return nil
 	}
 	if v, err := time.ParseDuration(string(d)); err != nil || v <= 0 || v > 24*time.Hour {
-		return fmt.Errorf("%s %q: a time with its unit is meant, such as \"5s\" or \"200ms\", up to 24h", key, string(d))
+		return fmt.Errorf("%s, up to 24h, is meant, not %.60q", d.meant(), string(d))
 	}
 	return nil
 }
 
-func (f *File) checkSources() (where string, err error) {
-	m := &f.Membership
-	if !(m.MaxLoss >= 0 && m.MaxLoss < 1) {
-		return "membership.max_loss", fmt.Errorf("max_loss is %v: a share from 0 (the default) to under 1 is meant", m.MaxLoss)
+// URL is the base of a registry.
+type URL string
+
+func (URL) meant() string { return `a URL, such as "http://127.0.0.1:8761/eureka/v2"` }
+
+func (u URL) check() error {
+	parsed, err := url.Parse(string(u))
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		return fmt.Errorf("%s is meant, not %.80q", u.meant(), string(u))
 	}
-	if where, err := checkCount("membership.most_nodes", m.Most); err != nil {
-		return where, err
+	return nil
+}
+
+// Format is how a registry writes; empty stands for "json".
+type Format string
+
+// The formats.
+const (
+	JSON Format = "json"
+	XML  Format = "xml"
+)
+
+func (f Format) check() error { return oneOf(string(f), string(JSON), string(XML)) }
+
+// URLs are the replicas' bases.
+func (e *Eureka) URLs() []string {
+	all := make([]string, len(e.Replicas))
+	for i, r := range e.Replicas {
+		all[i] = string(r)
 	}
-	if !m.UsesPlatform() && !f.Merges() {
-		return "membership.platform", errors.New("platform is false and there is no other source: the list would be empty for ever")
+	return all
+}
+
+// Share is a part of a whole, from 0 to under 1; 0 stands for the default.
+type Share float64
+
+func (Share) meant() string { return "a share from 0 (the default) to under 1, such as 0.3" }
+
+func (s Share) check() error {
+	if !(s >= 0 && s < 1) {
+		return fmt.Errorf("%s is meant, not %v", s.meant(), float64(s))
 	}
-	if where, err := checkDurations("membership.", map[string]Duration{
-		"loss_window": m.Window, "hold_for": m.HoldFor, "silent_after": m.Silent, "tombstone_for": m.Tombstone, "settle": m.Settle, "fresh_for": m.Fresh,
-	}); err != nil {
-		return where, err
+	return nil
+}
+
+func (f *File) checkSources(d *decoder) {
+	if f.Sidecar == nil && !f.UsesPlatform() && !f.Merges() {
+		d.wrong("membership.platform", "it is false and there is no other source: the list would be empty for ever. An [[eureka]] or a [[static]] table is meant beside it")
 	}
 	names := map[string]bool{"platform": true}
-	name := func(at, n string) (string, error) {
-		switch {
-		case n == "":
-			return at, errors.New("this source has no name")
-		case names[n]:
-			return at + ".name", fmt.Errorf("a source is named %q already: each needs its own name", n)
+	name := func(at, n string) {
+		d.needs(at, "name", n == "", "a name of its own is meant")
+		if names[n] {
+			d.wrong(at+".name", "a source is named %q already: each needs its own name", n)
 		}
-		names[n] = true
-		return "", nil
+		names[n] = n != ""
 	}
 	for i := range f.Eureka {
 		e, at := &f.Eureka[i], fmt.Sprintf("eureka[%d]", i)
-		if where, err := name(at, e.Name); err != nil {
-			return where, err
-		}
-		if where, err := e.check(at); err != nil {
-			return where, err
-		}
+		name(at, e.Name)
+		d.needs(at, "replicas", len(e.Replicas) == 0, "a list of URLs is meant, such as [\"http://127.0.0.1:8761/eureka/v2\"]")
 	}
 	for i := range f.Static {
 		s, at := &f.Static[i], fmt.Sprintf("static[%d]", i)
-		if where, err := name(at, s.Name); err != nil {
-			return where, err
-		}
-		if len(s.Nodes) == 0 {
-			return at, errors.New("this list has no nodes")
-		}
-		for _, n := range s.Nodes {
-			if err := Address(n).check(); err != nil || n == "" {
-				return at + ".nodes", fmt.Errorf("node %q: an IP address and a port are meant, such as \"127.0.0.1:7071\"", n)
+		name(at, s.Name)
+		d.needs(at, "nodes", len(s.Nodes) == 0, "a list of addresses is meant, such as [\"127.0.0.1:7081\"]")
+		had := make(map[Address]bool)
+		for j, n := range s.Nodes {
+			switch path := fmt.Sprintf("%s.nodes[%d]", at, j); {
+			case n == "" && !d.noted(path):
+				d.wrong(path, "it is empty: %s is meant", n.meant())
+			case n != "" && had[n]:
+				d.wrong(path, "%s stands twice in this list", n)
 			}
+			had[n] = true
 		}
 	}
-	return "", nil
-}
-
-func (e *Eureka) check(at string) (where string, err error) {
-	if len(e.Replicas) == 0 {
-		return at, errors.New("this registry has no replicas: their URLs are meant, such as \"http://127.0.0.1:8761/eureka/v2\"")
-	}
-	for _, r := range e.Replicas {
-		if u, err := url.Parse(r); err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-			return at + ".replicas", fmt.Errorf("replica %q: a URL is meant, such as \"http://127.0.0.1:8761/eureka/v2\"", r)
-		}
-	}
-	if e.Format != "" && e.Format != "json" && e.Format != "xml" {
-		return at + ".format", fmt.Errorf("format %q is not known: \"json\" or \"xml\" is meant", e.Format)
-	}
-	if where, err := checkCount(at+".most_mb", e.MostMB); err != nil {
-		return where, err
-	}
-	if err := e.Register.Address.check(); err != nil {
-		return at + ".register.address", err
-	}
-	return checkDurations(at+".", map[string]Duration{"interval": e.Interval, "timeout": e.Timeout, "register.renew": e.Register.Renew})
-}
-
-func checkDurations(at string, all map[string]Duration) (where string, err error) {
-	for key, d := range all {
-		if err := d.check(key); err != nil {
-			return at + key, err
-		}
-	}
-	return "", nil
 }
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -81,7 +81,12 @@
 
 // StartNode starts a node on a loopback port of its own.
 func StartNode(p Protocol, name string, ledger *Ledger, script Script) (*Node, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return StartNodeAt("127.0.0.1:0", p, name, ledger, script)
+}
+
+// StartNodeAt starts a node at an address.
+func StartNodeAt(addr string, p Protocol, name string, ledger *Ledger, script Script) (*Node, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("node %s: %w", name, err)
 	}
@@ -176,6 +181,13 @@
 
 // decide notes a request in the ledger and asks the script.
 func (n *Node) decide(c Call) Action {
+	if n.ledger == nil { // it runs for long, and nobody counts
+		a := (*n.script.Load())(c)
+		if a.Body == nil {
+			a.Body = []byte(c.ID)
+		}
+		return a
+	}
 	c.Try = n.ledger.arrive(n.Name, c.ID, time.Now())
 	a := (*n.script.Load())(c)
 	if a.Deed != TurnAway {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -92,6 +93,9 @@
 // discovery is. The environment is that of the start, so here the file alone
 // counts. If the file is of no use, c stays as it is.
 func (c *Config) reload() error {
+	if c.path == "" {
+		return errors.New("the operators' file says all of it, and takes a restart")
+	}
 	fresh, err := readConfig(c.path)
 	if err != nil {
 		return err
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -154,7 +154,7 @@
 			continue
 		}
 		fronts = append(fronts, rpcfront.New(rpcfront.Config{
-			Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Open: int(l.Open), Held: int(l.Held),
+			Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Open: int(l.Open), Held: int(l.Held), Texts: l.Errors == operator.ErrorTexts,
 		}, k, lns[i+1]))
 	}
 	return fronts
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net/url"
-	"slices"
 	"sync"
 
 	"mothridge/internal/admin"
@@ -32,7 +31,7 @@
 		}
 		loops.Go(func() { m.Run(ctx) })
 		number := 0
-		if o.Membership.UsesPlatform() {
+		if o.UsesPlatform() {
 			number++
 			if c.Known != nil {
 				m.Platform(0, c.Known.News())
@@ -42,7 +41,7 @@
 		if err := c.followOthers(ctx, m, number, loops); err != nil {
 			return nil, nil, err
 		}
-		if !o.Membership.UsesPlatform() {
+		if !o.UsesPlatform() {
 			return nil, m, nil
 		}
 	}
@@ -63,7 +62,7 @@
 			continue
 		}
 		r, err := eureka.NewRegistrar(eureka.Registration{
-			Replicas: slices.Clone(e.Replicas), App: e.Register.App, VIP: e.Register.VIP, Addr: cmp.Or(string(e.Register.Address), c.Listen),
+			Replicas: e.URLs(), App: e.Register.App, VIP: e.Register.VIP, Addr: cmp.Or(string(e.Register.Address), c.Listen),
 			Metadata: e.Register.Metadata, Renew: e.Register.Renew.Value(), Timeout: e.Timeout.Value(), Ready: k.Ready,
 		})
 		if err != nil {
@@ -127,7 +126,7 @@
 func (c *Config) merger(k *core.Core) (*merge.Merger, error) {
 	o := &c.Operator
 	var sources []membership.Source
-	if o.Membership.UsesPlatform() {
+	if o.UsesPlatform() {
 		sources = append(sources, membership.Source{Name: "platform"})
 	}
 	for _, e := range o.Eureka {
@@ -138,7 +137,7 @@
 	}
 	b := &o.Membership
 	set, err := membership.New(membership.Config{
-		MaxLoss: b.MaxLoss, LossWindow: b.Window.Value(), HoldFor: b.HoldFor.Value(), SilentAfter: b.Silent.Value(),
+		MaxLoss: float64(b.MaxLoss), LossWindow: b.Window.Value(), HoldFor: b.HoldFor.Value(), SilentAfter: b.Silent.Value(),
 		TombstoneFor: b.Tombstone.Value(), Settle: b.Settle.Value(), FreshFor: b.Fresh.Value(), MostNodes: c.mostNodes(),
 	}, sources...)
 	if err != nil {
@@ -157,7 +156,7 @@
 			Protocol: e.Metadata.Protocol, Started: e.Metadata.Started, Secure: e.Secure,
 		}
 		client, err := eureka.NewClient(eureka.Config{
-			Replicas: slices.Clone(e.Replicas), Apps: e.Apps, VIPs: e.VIPs, XML: e.Format == "xml",
+			Replicas: e.URLs(), Apps: e.Apps, VIPs: e.VIPs, XML: e.Format == operator.XML,
 			Interval: e.Interval.Value(), Timeout: e.Timeout.Value(), MostMB: int(e.MostMB), Keep: mapping.Uses, Seed: c.Seed + uint64(i),
 		}, func(n eureka.News) { m.Eureka(source, mapping, n) })
 		if err != nil {
@@ -174,7 +173,8 @@
 
 func staticList(s *operator.Static) []membership.Instance {
 	list := make([]membership.Instance, 0, len(s.Nodes))
-	for _, addr := range s.Nodes {
+	for _, a := range s.Nodes {
+		addr := string(a)
 		list = append(list, membership.Instance{ID: addr, Name: s.Name + "/" + addr, Addr: addr, Site: s.Site, Kind: s.Kind, Weight: 1})
 	}
 	return list
