Show metrics on the admin socket, write counters as attributes and the log as JSON

Need: the counters stood in the log as one text, those of fronts and transports were there for tests alone, and nobody could scrape a sidecar.

The HTTP front and transport count too.

--- a/cmd/mothridge/commands.go
+++ b/cmd/mothridge/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,7 +18,7 @@
 
 // commands are the operators' commands.
 type commands struct {
-	Run     runCommand     `cmd:"" help:"Run the sidecar. The platform's variables (ROUTER_CONFIG and others) must be set."`
+	Run     runCommand     `cmd:"" help:"Run the sidecar, by the platform's variables (ROUTER_CONFIG and others) or by an operators' file that says it all."`
 	Check   checkCommand   `cmd:"" help:"Check an operators' file and say what it sets."`
 	Try     tryCommand     `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
 	Members membersCommand `cmd:"" help:"Ask a running sidecar for its merged list of nodes, with the reason for each state."`
@@ -25,11 +26,25 @@
 }
 
 type runCommand struct {
-	Operator string `placeholder:"FILE" help:"The operators' file, such as deploy/mothridge.toml."`
+	Operator  string `placeholder:"FILE" help:"The operators' file, such as deploy/mothridge.toml."`
+	LogFormat string `enum:"text,json" default:"text" help:"How the log is written: text or json, a line each."`
+	LogLevel  string `enum:"debug,info,warn,error" default:"info" help:"What is logged at least: debug, info, warn or error."`
 }
 
 // Run runs the sidecar.
-func (c *runCommand) Run() error { return run(c.Operator) }
+func (c *runCommand) Run() error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return err
+	}
+	o := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewTextHandler(os.Stderr, o)
+	if c.LogFormat == "json" {
+		h = slog.NewJSONHandler(os.Stderr, o)
+	}
+	slog.SetDefault(slog.New(h))
+	return run(c.Operator)
+}
 
 type checkCommand struct {
 	File string `arg:"" help:"The file to check."`
--- a/cmd/mothridge/commands_test.go
+++ b/cmd/mothridge/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -95,7 +96,7 @@
 // startProgram starts the real program; end ends it and checks that it ends well.
 func startProgram(t *testing.T, config, operators string) (end func()) {
 	t.Helper()
-	cmd := exec.Command(os.Args[0], "run", "--operator", operators)
+	cmd := exec.Command(os.Args[0], "run", "--operator", operators, "--log-format", "json")
 	cmd.Env = append(os.Environ(), "MOTHRIDGE_RUN_MAIN=1", "ROUTER_CONFIG="+config)
 	var log bytes.Buffer
 	cmd.Stderr = &log
@@ -107,6 +108,20 @@
 		if err := cmd.Wait(); err != nil {
 			t.Errorf("ended with %v\n%s", err, log.String())
 		}
+		counted := false
+		for line := range strings.Lines(log.String()) {
+			var entry struct {
+				Msg      string
+				Ordinary *int
+			}
+			if err := json.Unmarshal([]byte(line), &entry); err != nil {
+				t.Errorf("%q: %v", line, err)
+			}
+			counted = counted || entry.Msg == "counters" && entry.Ordinary != nil && *entry.Ordinary > 0
+		}
+		if !counted {
+			t.Errorf("the log has no counters as numbers:\n%s", log.String())
+		}
 	}
 }
 
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -31,9 +31,9 @@
 	maxAnswer = 64 << 20
 )
 
-// Listen opens the socket. A socket that a process before left behind is
+// Listen opens the socket, for questions and for pages that are no JSON. A socket that a process before left behind is
 // replaced; any other file is an error.
-func Listen(path string, questions map[string]Question) (*Server, error) {
+func Listen(path string, questions map[string]Question, pages map[string]http.Handler) (*Server, error) {
 	if info, err := os.Lstat(path); err == nil {
 		if info.Mode()&os.ModeSocket == 0 {
 			return nil, fmt.Errorf("admin socket %s: there is a file that is no socket", path)
@@ -68,6 +68,9 @@
 			json.NewEncoder(w).Encode(answer)
 		})
 	}
+	for name, page := range pages {
+		mux.Handle("GET /"+name, page)
+	}
 	s := &Server{ln: ln, server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 8 << 10}}
 	return s, nil
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -15,7 +15,7 @@
 	s, err := Listen(path, map[string]Question{
 		"members": func(context.Context, url.Values) (any, error) { return []string{"a", "b"}, nil },
 		"broken":  func(context.Context, url.Values) (any, error) { return nil, errors.New("not now") },
-	})
+	}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +34,7 @@
 	if err := Ask(t.Context(), path, "unknown", &got); err == nil || !strings.Contains(err.Error(), "not turned on") {
 		t.Errorf("unknown: %v", err)
 	}
-	if _, err := Listen(path, nil); err == nil || !strings.Contains(err.Error(), "another process") {
+	if _, err := Listen(path, nil, nil); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Errorf("a second one: %v", err)
 	}
 	s.Close()
@@ -49,13 +49,13 @@
 // What a process that was killed left behind is replaced, any other file is not.
 func TestLeftBehind(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s")
-	s, err := Listen(path, nil)
+	s, err := Listen(path, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.ln.(interface{ SetUnlinkOnClose(bool) }).SetUnlinkOnClose(false)
 	s.ln.Close()
-	again, err := Listen(path, nil)
+	again, err := Listen(path, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +63,7 @@
 	if err := os.WriteFile(path, nil, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Listen(path, nil); err == nil || !strings.Contains(err.Error(), "no socket") {
+	if _, err := Listen(path, nil, nil); err == nil || !strings.Contains(err.Error(), "no socket") {
 		t.Errorf("over a file: %v", err)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"mothridge/internal/counters"
 	"mothridge/policy"
 )
 
@@ -28,6 +29,7 @@
 	}
 	listed     struct{ news News }
 	listFailed struct{}
+	looked     struct{ state chan<- State }
 )
 
 // probe is one probe that was asked for; its result waits for those before it.
@@ -84,6 +86,10 @@
 	Zones  []string            // by number
 	Known  *News               // the list as last held; nil where there is none
 	Reach  func(Instance) Node // makes the node of an instance, without I/O
+
+	// Answered hears of each final answer on the loop, and must not block; nil:
+	// nobody wants to know. The time counts from when the request was taken.
+	Answered func(class int, v Verdict, took time.Duration)
 }
 
 // Core owns the Balancer: every event comes to it by a channel, and it carries
@@ -172,6 +178,46 @@
 // Holds says whether a request of that name is held.
 func (l *Core) Holds(name string) bool { return l.names.has(name) }
 
+// State is how things stand.
+type State struct {
+	Counters  policy.Counters
+	Requests  int // that are held
+	Hosts     int // listed
+	SlotsFree []int
+	QueueFree []int // both by tenant
+}
+
+// State asks the loop how things stand.
+func (l *Core) State(ctx context.Context) (State, error) {
+	state := make(chan State, 1)
+	select {
+	case l.events <- looked{state}:
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+	select {
+	case s := <-state:
+		return s, nil
+	case <-ctx.Done():
+		return State{}, ctx.Err()
+	}
+}
+
+func (l *Core) state() State {
+	s := State{Counters: l.b.Counters(), Requests: len(l.requests), Hosts: len(l.hosts)}
+	for i := range max(1, len(l.config.Policy.Tenants)) {
+		s.SlotsFree, s.QueueFree = append(s.SlotsFree, l.b.SlotsFree(i)), append(s.QueueFree, l.b.QueueFree(i))
+	}
+	return s
+}
+
+// log tells what was counted from the start on.
+func (l *Core) log() {
+	var attrs []any
+	counters.Each(l.b.Counters(), func(name string, n uint64) { attrs = append(attrs, slog.Uint64(name, n)) })
+	slog.Info("counters", attrs...)
+}
+
 // Run handles events until ctx ends.
 func (l *Core) Run(ctx context.Context) {
 	logTick := time.NewTicker(logEvery)
@@ -179,7 +225,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			slog.Info("counters", "counters", l.b.Counters())
+			l.log()
 			return
 		case e := <-l.events:
 			l.now = l.clock()
@@ -188,7 +234,7 @@
 			l.now = l.clock()
 			l.wake()
 		case <-logTick.C:
-			slog.Info("counters", "counters", l.b.Counters())
+			l.log()
 		}
 		for len(l.local) > 0 {
 			e := l.local[0]
@@ -233,6 +279,8 @@
 		l.list(kind, e.news)
 	case listFailed:
 		l.b.List(l.now, policy.ListFailed, nil)
+	case looked:
+		e.state <- l.state()
 	}
 }
 
@@ -246,6 +294,7 @@
 	l.lastID++
 	r.id = l.lastID
 	l.requests[r.id] = r
+	r.taken = l.now
 	l.b.Request(l.now, policy.Request{
 		ID: r.id, Class: r.Class, Tenant: r.Tenant, Repeat: r.Repeat, Work: r.Work, Left: time.Until(r.Until),
 	})
@@ -264,6 +313,9 @@
 func (l *Core) finish(id policy.RequestID, a Answer) {
 	if r := l.requests[id]; r != nil && !r.over {
 		l.close(r)
+		if l.config.Answered != nil {
+			l.config.Answered(r.Class, a.Verdict, l.now-r.taken)
+		}
 		r.Reply(a)
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -42,7 +42,8 @@
 	Reply func(Answer)
 
 	id       policy.RequestID
-	over     bool // answered, or the client has gone
+	taken    time.Duration // by the module's clock
+	over     bool          // answered, or the client has gone
 	attempts []*attempt
 	out      int  // attempts that have not ended
 	timedOut bool // the last attempt did
@@ -69,6 +70,11 @@
 	Duplicate         // not taken: a request of this id is held
 )
 
+func (v Verdict) String() string { return Verdicts()[v] }
+
+// Verdicts names them by number.
+func Verdicts() []string { return []string{"served", "refused", "failed", "timed_out", "duplicate"} }
+
 // Answer is what a client gets.
 type Answer struct {
 	Verdict Verdict
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,30 @@
+// Package counters names the counts of a struct, for logs and metrics.
+package counters
+
+import (
+	"reflect"
+	"strings"
+	"unicode"
+)
+
+// Each gives the uint64 fields of a struct in their order, each by its name in
+// lower case with underscores (RetryAfter: retry_after).
+func Each(counts any, yield func(name string, n uint64)) {
+	v := reflect.ValueOf(counts)
+	for i := range v.NumField() {
+		if v.Field(i).Kind() == reflect.Uint64 {
+			yield(name(v.Type().Field(i).Name), v.Field(i).Uint())
+		}
+	}
+}
+
+func name(field string) string {
+	var b strings.Builder
+	for i, r := range field {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"mothridge/internal/core"
@@ -56,6 +57,21 @@
 	tenants  map[string]int
 	listener *limitedListener
 	server   *http.Server
+
+	taken, rejected, left atomic.Uint64
+}
+
+// Counters tell what came.
+type Counters struct {
+	Connections uint64 // accepted
+	Taken       uint64 // requests that were given to the core
+	Rejected    uint64 // requests that were wrong
+	Left        uint64 // clients that left before their answer
+}
+
+// Counters returns what was counted so far.
+func (s *Front) Counters() Counters {
+	return Counters{s.listener.accepted.Load(), s.taken.Load(), s.rejected.Load(), s.left.Load()}
 }
 
 // New makes a Front on a listener; Serve starts it.
@@ -96,6 +112,7 @@
 
 func (s *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	if wrong := framing(hr); wrong != nil {
+		s.rejected.Add(1)
 		reject(w, hr, wrong)
 		return
 	}
@@ -112,6 +129,7 @@
 	answers := make(chan core.Answer, 1) // never blocks the core
 	r, wrong := s.read(w, hr, c)
 	if wrong != nil {
+		s.rejected.Add(1)
 		reject(w, hr, wrong)
 		return
 	}
@@ -119,11 +137,13 @@
 		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
 	}
 	r.Reply = func(a core.Answer) { answers <- a }
+	s.taken.Add(1)
 	s.core.Submit(r)
 	var a core.Answer
 	select {
 	case a = <-answers:
 	case <-hr.Context().Done():
+		s.left.Add(1)
 		s.core.Abandon(r)
 		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
 	}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -85,7 +85,8 @@
 // take the places of clients that ask.
 type limitedListener struct {
 	net.Listener
-	most int
+	most     int
+	accepted atomic.Uint64
 
 	mu       sync.Mutex
 	freed    *sync.Cond
@@ -119,6 +120,7 @@
 		l.release()
 		return nil, err
 	}
+	l.accepted.Add(1)
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		c.Close()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -33,7 +33,8 @@
 
 // Admin is how the operators' commands reach the running sidecar.
 type Admin struct {
-	Socket string `toml:"socket"` // path of a Unix socket; empty: there is none
+	Socket  string `toml:"socket"`  // path of a Unix socket; empty: there is none
+	Metrics bool   `toml:"metrics"` // GET /metrics there, in the Prometheus text format
 }
 
 // Limits bound the whole sidecar.
@@ -208,6 +209,9 @@
 	if len(f.Admin.Socket) > maxSocket {
 		d.wrong("admin.socket", "a path of %d bytes: a Unix socket's has %d at most", len(f.Admin.Socket), maxSocket)
 	}
+	if f.Admin.Metrics && f.Admin.Socket == "" {
+		d.wrong("admin.metrics", "they are shown on the admin socket: socket is missing beside it")
+	}
 	addresses := make(map[Address]int)
 	for i := range f.Listeners {
 		l, at := &f.Listeners[i], fmt.Sprintf("listener[%d]", i)
--- a/internal/registry/merge/merge.go
+++ b/internal/registry/merge/merge.go
@@ -189,6 +189,7 @@
 // View is the merged view and how the sources do, as of Now.
 type View struct {
 	Now     time.Duration // Unix time
+	Ready   int           // nodes that may be sent something
 	Members []membership.Member
 	Sources []membership.SourceState
 }
@@ -198,7 +199,9 @@
 func (m *Merger) View(ctx context.Context, after string, most int) (*View, error) {
 	seen := make(chan *View, 1)
 	select {
-	case m.events <- func(now time.Duration) { seen <- &View{now, m.set.Members(after, most), m.set.Sources()} }:
+	case m.events <- func(now time.Duration) {
+		seen <- &View{now, m.set.Ready(), m.set.Members(after, most), m.set.Sources()}
+	}:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"mothridge/internal/core"
 	"mothridge/internal/front/httpfront"
 	"mothridge/internal/front/rpcfront"
+	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
 	"mothridge/internal/registry/platform"
 	"mothridge/internal/transport/httpnode"
@@ -88,12 +89,13 @@
 		}
 	}()
 	forClients, forUpstreams := c.Limits.connections()
-	reach, transports := c.transports(forUpstreams)
+	figures := c.measure()
+	reach, transports := c.transports(forUpstreams, figures)
 	p := c.Policy
 	if n := int(c.Operator.Limits.Slots); n > 0 {
 		p.Slots = n
 	}
-	k, err := core.New(core.Config{Policy: p, Seed: c.Seed, Zones: c.Zones, Known: c.known(), Reach: reach})
+	k, err := core.New(core.Config{Policy: p, Seed: c.Seed, Zones: c.Zones, Known: c.known(), Reach: reach, Answered: answered(figures)})
 	if err != nil {
 		return err
 	}
@@ -107,7 +109,10 @@
 	if err != nil {
 		return err
 	}
-	closeAdmin, err := c.administer(m, &loops)
+	if figures != nil {
+		c.showState(figures, k, m)
+	}
+	closeAdmin, err := c.administer(m, figures, &loops)
 	if err != nil {
 		return err
 	}
@@ -120,7 +125,7 @@
 	loops.Go(func() { k.Run(run) })
 	go sweep(run, transports)
 
-	fronts := c.fronts(k, lns, forClients)
+	fronts := c.fronts(k, lns, forClients, figures)
 	served := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { served <- f.Serve() }()
@@ -144,24 +149,45 @@
 }
 
 // fronts makes the front of each listener; they share the clients' connections evenly.
-func (c *Config) fronts(k *core.Core, lns []net.Listener, connections int) []front {
+func (c *Config) fronts(k *core.Core, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
 	each, effects := connections/len(lns), c.effects()
 	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each}
-	fronts := []front{httpfront.New(overHTTP, k, lns[0])}
-	for i, l := range c.Operator.Listeners {
+	fronts := make([]front, len(lns))
+	for i, ln := range lns {
+		l := operator.Listener{Protocol: operator.HTTP} // the platform's
+		if i > 0 {
+			l = c.Operator.Listeners[i-1]
+		}
+		var counts func() any
 		if l.Protocol == operator.HTTP {
-			fronts = append(fronts, httpfront.New(overHTTP, k, lns[i+1]))
-			continue
+			f := httpfront.New(overHTTP, k, ln)
+			fronts[i], counts = f, func() any { return f.Counters() }
+		} else {
+			f := rpcfront.New(rpcfront.Config{
+				Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each,
+				Open: int(l.Open), Held: int(l.Held), Texts: l.Errors == operator.ErrorTexts,
+			}, k, ln)
+			fronts[i], counts = f, func() any { return f.Counters() }
+		}
+		if figures != nil {
+			figures.Add(func(s *metrics.Show) {
+				s.Counters("front_total", "What came on a listener, by event.", "event", counts(), "listener", ln.Addr().String(), "protocol", string(l.Protocol))
+			})
 		}
-		fronts = append(fronts, rpcfront.New(rpcfront.Config{
-			Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Open: int(l.Open), Held: int(l.Held), Texts: l.Errors == operator.ErrorTexts,
-		}, k, lns[i+1]))
 	}
 	return fronts
 }
 
 // transports makes those that the pools need, and finds the one of an instance.
-func (c *Config) transports(connections int) (func(core.Instance) core.Node, []transport) {
+func (c *Config) transports(connections int, figures *metrics.Metrics) (func(core.Instance) core.Node, []transport) {
+	show := func(pool string, p operator.Protocol, counts func() any) {
+		if figures != nil {
+			figures.Add(func(s *metrics.Show) {
+				s.Counters("transport_total", "What became of connections to nodes, by event.", "event", counts(), "pool", pool, "protocol", string(p))
+			})
+		}
+	}
+
 	forRPC := 0
 	if c.Operator.Uses(operator.RPC) {
 		forRPC = connections / 2
@@ -170,6 +196,7 @@
 		DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: connections - forRPC,
 		LoadField: c.LoadField, Reports: c.Policy.Reports,
 	})
+	show("", operator.HTTP, func() any { return overHTTP.Counters() })
 	all := []transport{overHTTP}
 	var ofPool []transport
 	rpcPools := 0
@@ -187,6 +214,7 @@
 			DialTimeout: c.DialTimeout, ConnIdle: c.ConnIdle, Connections: max(1, forRPC/rpcPools), Outstanding: int(p.Outstanding),
 		})
 		ofPool, all = append(ofPool, t), append(all, t)
+		show(p.Name, operator.RPC, func() any { return t.Counters() })
 	}
 	return func(i core.Instance) core.Node {
 		for n := range c.Operator.Pools {
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -5,11 +5,13 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/url"
 	"sync"
 
 	"mothridge/internal/admin"
 	"mothridge/internal/core"
+	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
 	"mothridge/internal/registry/eureka"
 	"mothridge/internal/registry/merge"
@@ -77,7 +79,7 @@
 const membersPage = 250
 
 // administer opens the socket that the operators' commands ask at, if there is one.
-func (c *Config) administer(m *merge.Merger, loops *sync.WaitGroup) (end func(), err error) {
+func (c *Config) administer(m *merge.Merger, figures *metrics.Metrics, loops *sync.WaitGroup) (end func(), err error) {
 	if c.Operator.Admin.Socket == "" {
 		return func() {}, nil
 	}
@@ -87,7 +89,11 @@
 			return m.View(ctx, q.Get("after"), membersPage) // a page at a time, as the list may be long
 		}
 	}
-	s, err := admin.Listen(c.Operator.Admin.Socket, questions)
+	pages := make(map[string]http.Handler)
+	if figures != nil {
+		pages["metrics"] = figures
+	}
+	s, err := admin.Listen(c.Operator.Admin.Socket, questions, pages)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/httpnode/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mothridge/internal/sockets"
@@ -44,6 +45,8 @@
 
 	slots chan struct{} // holds one for each connection that is open or being opened
 
+	dials, failed atomic.Uint64
+
 	mu      sync.Mutex
 	kept    map[*peer]bool // those with idle connections
 	waiting int            // callers that wait for a slot
@@ -137,8 +140,10 @@
 	nc, err := d.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		<-p.slots
+		p.failed.Add(1)
 		return nil, err
 	}
+	p.dials.Add(1)
 	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}, taken: time.Now()}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -53,6 +53,15 @@
 	return t
 }
 
+// Counters tell what became of connections.
+type Counters struct {
+	Dials  uint64 // that came up
+	Failed uint64 // that did not
+}
+
+// Counters returns what was counted so far.
+func (t *Transport) Counters() Counters { return Counters{t.pool.dials.Load(), t.pool.failed.Load()} }
+
 // Node makes the node at an address.
 func (t *Transport) Node(addr string) core.Node { return &node{t, &peer{addr: addr}} }
 
