Check membership's guards through the whole program; measure polls of any interval

Need: half of the nodes vanishing at once, a replica that is behind and clocks an hour off were tested in the module alone, and the time from a change to the last send only at polls every 50 ms. Interop lost some of fasthttp's requests in some runs.

Change: a test plays the three through the real program over loopback. The run of flips under load takes -interval. Interop's lost requests tell why; they came of 200 connections to a listener that may hold 190, so the example has more sockets now.

Result: drains honoured with the registry's clock an hour ahead and behind; a replica that had not heard of one does not roll it back; with half of six nodes gone at once at least four stay in use.

--- a/internal/rig/eureka_test.go
+++ b/internal/rig/eureka_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"mothridge/internal/operator"
 	"mothridge/internal/peers"
 	"mothridge/internal/peers/peertest"
 )
@@ -63,7 +64,9 @@
 			if *long {
 				number, lasts = 18, time.Minute
 			}
-			r := withEureka(t, e, Options{Front: pair.front, Nodes: pair.nodes, Number: number, Slots: 120, Open: 200, Script: func(peers.Call) peers.Action {
+			r := withEureka(t, e, Options{Front: pair.front, Nodes: pair.nodes, Number: number, Slots: 120, Open: 200, Operators: func(f *operator.File) {
+				f.Eureka[0].Interval = operator.Duration(interval.String())
+			}, Script: func(peers.Call) peers.Action {
 				return peers.Action{Delay: 2 * time.Millisecond}
 			}})
 			seed := uint64(time.Now().UnixNano())
@@ -163,7 +166,7 @@
 			t.Logf("served %d, refused %d, failed %d; %d drains, %d sends too late; %d answers in a row at most were not served",
 				verdicts[peers.Served], verdicts[peers.Refused], verdicts[peers.Failed], checked, late, worst)
 			if slices.Sort(lags); len(lags) > 0 {
-				t.Logf("from the registry's change to the last send, polled every 50 ms: median %v, worst %v", lags[len(lags)/2], lags[len(lags)-1])
+				t.Logf("from the registry's change to the last send, polled every %v: median %v, worst %v", *interval, lags[len(lags)/2], lags[len(lags)-1])
 			}
 			if late > 0 || checked == 0 {
 				t.Errorf("%d sends reached a drained node too late, of %d drains", late, checked)
@@ -241,3 +244,72 @@
 		})
 	}
 }
+
+// What the membership module guards against, through the whole program: half of
+// the nodes vanish at once, another replica that is behind, clocks an hour off.
+func TestEurekaGuardsThroughTheProgram(t *testing.T) {
+	behind := startEureka(t)
+	e := startEureka(t)
+	r := withEureka(t, e, Options{Number: 6, Operators: func(f *operator.File) {
+		f.Eureka[0].Replicas = append(f.Eureka[0].Replicas, operator.URL(behind.URL()))
+	}})
+	client := r.Client()
+	defer client.Close()
+	round := 0
+	// used says which nodes are sent something by forty requests.
+	used := func() (nodes []string) {
+		round++
+		since := time.Now()
+		for i := range 40 {
+			if got := ask(t, client, Request(Once, fmt.Sprint("g", round, "-", i), Tenant(i))); got.Verdict != peers.Served {
+				t.Errorf("round %d: %+v", round, got)
+			}
+		}
+		for _, n := range r.Nodes {
+			if sends := r.Ledger.Sends(n.Name); len(sends) > 0 && sends[len(sends)-1].After(since) {
+				nodes = append(nodes, n.Name)
+			}
+		}
+		return nodes
+	}
+	polls := func(e *peers.Eureka, n int) {
+		calls := e.Calls("/apps") + e.Calls("/apps/delta")
+		peertest.Until(t, "polls", func() bool { return e.Calls("/apps")+e.Calls("/apps/delta") >= calls+n })
+	}
+	for _, skew := range []time.Duration{time.Hour, -time.Hour, 0} { // a drain is honoured whatever the registry's clock says
+		e.Skew(skew)
+		e.Override(r.Nodes[5].Name, "OUT_OF_SERVICE")
+		polls(e, 3)
+		if nodes := used(); len(nodes) != 5 || slices.Contains(nodes, r.Nodes[5].Name) {
+			t.Errorf("clock off by %v, a node out of service: %v are used", skew, nodes)
+		}
+		if skew > 0 { // a second time would be flapping
+			e.Override(r.Nodes[5].Name, "")
+			polls(e, 3)
+			if nodes := used(); len(nodes) != 6 {
+				t.Errorf("clock off by %v, it is back: %v are used", skew, nodes)
+			}
+		}
+	}
+	for _, n := range r.Nodes { // the other replica has not heard of the drain
+		i, _ := e.Instance(n.Name)
+		i.Override = ""
+		behind.Skew(-time.Hour)
+		behind.Register(i)
+	}
+	e.Fault(peers.ServerFail)
+	polls(behind, 3)
+	if nodes := used(); len(nodes) != 5 || slices.Contains(nodes, r.Nodes[5].Name) {
+		t.Errorf("a replica that is behind rolled the drain back: %v are used", nodes)
+	}
+	e.Fault(peers.NoFault)
+	behind.Fault(peers.ServerFail)
+	polls(e, 3)
+	for _, n := range r.Nodes[:3] {
+		e.Cancel(n.Name)
+	}
+	polls(e, 3)
+	if nodes := used(); len(nodes) < 4 { // one of six may vanish, and one is out of service
+		t.Errorf("half of the nodes vanished at once, and %v are used", nodes)
+	}
+}
--- a/internal/rig/rpc_test.go
+++ b/internal/rig/rpc_test.go
@@ -15,6 +15,8 @@
 	"mothridge/internal/peers/peertest"
 )
 
+var interval = flag.Duration("interval", 50*time.Millisecond, "how often the sidecar polls its registry in the test of flips under load")
+
 var long = flag.Bool("long", false, "run the long form of the tests that have one")
 
 // Whatever a rig started has ended when the tests have.
--- a/interop/overhttp.go
+++ b/interop/overhttp.go
@@ -63,7 +63,7 @@
 			if ctx.Err() != nil {
 				t.add(abandoned)
 			} else {
-				t.add(lost)
+				t.lose(err)
 			}
 			return
 		}
@@ -107,7 +107,7 @@
 		req.Header.Set("Request-Timeout", "1.5")
 		req.SetBodyString(c.body)
 		if err := client.Do(req, resp); err != nil {
-			t.add(lost)
+			t.lose(err)
 			return
 		}
 		t.add(outcome(resp.StatusCode(), string(resp.Header.Peek("Retry-After")), string(resp.Body()), id))
--- a/interop/tally.go
+++ b/interop/tally.go
@@ -21,7 +21,14 @@
 
 // tally counts the requests of a scenario. It is safe for concurrent use.
 type tally struct {
-	n [endings]atomic.Int64
+	n    [endings]atomic.Int64
+	last atomic.Pointer[error] // of a request that was lost
+}
+
+// lose counts a lost request and keeps why.
+func (t *tally) lose(err error) {
+	t.last.Store(&err)
+	t.add(lost)
 }
 
 func (t *tally) add(e ending) { t.n[e].Add(1) }
@@ -45,6 +52,8 @@
 		return fmt.Errorf("nothing was asked")
 	case sum != c[asked]:
 		return fmt.Errorf("%d asked and %d ended", c[asked], sum)
+	case c[lost] > 0 && t.last.Load() != nil:
+		return fmt.Errorf("%d lost, the last by: %w", c[lost], *t.last.Load())
 	case c[lost] > 0:
 		return fmt.Errorf("%d lost", c[lost])
 	}
--- a/interop/world.go
+++ b/interop/world.go
@@ -40,6 +40,7 @@
 
 [limits]
 slots = 64
+sockets = 2048
 memory_mb = 64
 cores = 1.0
 
