Let a delta of one cost the decision module the same whatever the list holds

Change: a server's weight is taken out of the sums and put back round whatever changes it; whole lists are still added up anew, and a sum with no server in it is exactly 0. No decision changes: the first turn of a cold server is worked out from the same total as before.

--- a/policy/health.go
+++ b/policy/health.go
@@ -45,16 +45,12 @@
 // answered takes a good answer: whatever was held against a server is over.
 func (b *Balancer) answered(now time.Duration, s *server) {
 	s.heard, s.strikes, s.doubted = now, 0, false
-	if s.unwell {
-		s.unwell = false
-		b.weigh(now)
-	}
+	b.mark(now, s, false)
 }
 
 // strike takes evidence against a server: it loses its turn but for a trial after a pause.
 func (b *Balancer) strike(now time.Duration, s *server) {
 	s.trialAt = now + b.backoff(s.strikes)
 	s.strikes++
-	s.unwell = true
-	b.weigh(now)
+	b.mark(now, s, true)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -447,6 +448,7 @@
 	if kind != ListCached && b.cfg.AskList {
 		b.askAt, b.askFails = 0, 0
 	}
+	b.fade(now)
 	if kind != ListDelta {
 		for _, s := range b.servers {
 			s.State = Gone // until the list names it
@@ -455,16 +457,21 @@
 	for _, e := range entries {
 		b.enter(now, e)
 	}
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		if s.State == Gone {
-			delete(b.known, s.ID)
+	gone := func(s *server) bool { return s.State == Gone }
+	if kind != ListDelta || slices.ContainsFunc(entries, func(e Server) bool { return e.State == Gone }) {
+		b.servers = slices.DeleteFunc(b.servers, gone)
+		maps.DeleteFunc(b.known, func(_ ServerID, s *server) bool { return gone(s) })
+	}
+	if kind != ListDelta { // all anew, and so without what rounding added up to
+		b.weight, b.well, b.ready, b.fit = 0, 0, 0, 0
+		for _, s := range b.servers {
+			b.weigh(s, 1)
 		}
-		return s.State == Gone
-	})
+	}
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
-	b.weigh(now)
+	b.full = max(b.full, b.weight)
 	b.thin = b.cfg.MayProbe && b.quota/float64(b.cfg.Balancers*max(1, len(b.servers))) < thinRate
 	b.feed(now)
 }
@@ -481,6 +488,7 @@
 		b.known[e.ID] = s
 	}
 	fresh := e.Started > s.Started
+	was := *s
 	s.Server = e
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
@@ -488,6 +496,8 @@
 		// All balancers are told at once: their first sends together would push it over.
 		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 	}
+	b.weigh(&was, -1)
+	b.weigh(s, 1)
 }
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
--- a/policy/state.go
+++ b/policy/state.go
@@ -92,6 +92,8 @@
 	full     float64              // the most of it that there was, followed down
 	fullAt   time.Duration
 	well     float64       // of those not judged unwell
+	ready    int           // how many are ready
+	fit      int           // and of those, not judged unwell
 	pace     time.Duration // usual time of an answer, over all classes
 	aim      float64       // mean aim, in seconds
 	wakeAt   time.Duration
@@ -150,22 +152,42 @@
 // fullMemory is longer than servers are out for a trouble or a deploy.
 const fullMemory = time.Minute
 
-// weigh adds up the weights of the ready servers and of those that are well. The
-// most there was is forgotten slowly: while replacements overlap with what they
-// replace there is more than there will be.
-func (b *Balancer) weigh(now time.Duration) {
+// weigh takes a server into the sums of weights (sign 1) or out of them (-1).
+// Whatever changes its state, weight or health does so between the two, so that
+// a change of one server costs the same whatever the list holds.
+func (b *Balancer) weigh(s *server, sign int) {
+	if s.State != Ready {
+		return
+	}
+	b.weight += float64(sign) * s.Weight
+	if b.ready += sign; b.ready == 0 {
+		b.weight = 0 // and not what rounding left of it
+	}
+	if s.unwell {
+		return
+	}
+	b.well += float64(sign) * s.Weight
+	if b.fit += sign; b.fit == 0 {
+		b.well = 0
+	}
+}
+
+// fade lets the most weight that there was be forgotten slowly: while
+// replacements overlap with what they replace there is more than there will be.
+func (b *Balancer) fade(now time.Duration) {
 	b.full = b.weight + (b.full-b.weight)*math.Exp(-float64(now-b.fullAt)/float64(fullMemory))
 	b.fullAt = now
-	b.weight, b.well = 0, 0
-	for _, s := range b.servers {
-		if s.State == Ready {
-			b.weight += s.Weight
-			if !s.unwell {
-				b.well += s.Weight
-			}
-		}
+}
+
+// mark notes whether a server is judged unwell.
+func (b *Balancer) mark(now time.Duration, s *server, unwell bool) {
+	if s.unwell == unwell {
+		return
 	}
-	b.full = max(b.full, b.weight)
+	b.fade(now)
+	b.weigh(s, -1)
+	s.unwell = unwell
+	b.weigh(s, 1)
 }
 
 // part is a server's part of a total by its weight in the fullest list there was.
--- /dev/null
+++ b/policy/weights_test.go
@@ -0,0 +1,52 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// However the list and the health of its servers change, the sums of weights are
+// those of the servers there are, and exactly 0 where there is none.
+func TestWeightsAddUp(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	b, _ := start(t, testConfig(), nil)
+	for step := range 20_000 {
+		now := time.Duration(step) * ms
+		entry := func() Server {
+			return Server{ID: ServerID(1 + rng.IntN(8)), Weight: 0.1 * float64(1+rng.IntN(9)), State: State(rng.IntN(3)), Started: time.Duration(rng.IntN(step + 1))}
+		}
+		switch x := rng.IntN(20); {
+		case x == 0:
+			b.List(now, ListFull, []Server{entry(), entry(), entry()})
+		case x < 10:
+			b.List(now, ListDelta, []Server{entry(), entry()})
+		case len(b.servers) == 0:
+		case x < 15:
+			b.strike(now, b.servers[rng.IntN(len(b.servers))])
+		default:
+			b.answered(now, b.servers[rng.IntN(len(b.servers))])
+		}
+		weight, well, ready, fit := 0.0, 0.0, 0, 0
+		for _, s := range b.servers {
+			if b.known[s.ID] != s {
+				t.Fatalf("step %d: server %d is not known by its name", step, s.ID)
+			}
+			if s.State != Ready {
+				continue
+			}
+			weight += s.Weight
+			if ready++; !s.unwell {
+				well += s.Weight
+				fit++
+			}
+		}
+		if math.Abs(b.weight-weight) > 1e-9 || math.Abs(b.well-well) > 1e-9 || b.ready != ready || b.fit != fit ||
+			(fit == 0) != (b.well == 0) || (ready == 0) != (b.weight == 0) || len(b.known) != len(b.servers) || b.full < weight-1e-9 {
+			t.Fatalf("step %d: %v %v %d %d of %d, most %v; want %v %v %d %d", step, b.weight, b.well, b.ready, b.fit, len(b.known), b.full, weight, well, ready, fit)
+		}
+	}
+}
