--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -78,8 +78,9 @@
 }
 
 // outside is what the process takes beside the runtime's own memory: the
-// program's text, above all. It counts where the limit is small.
-const outside = 12 << 20
+// program's text, above all, and what the runtime goes over its limit while it
+// collects. It counts where the limit is small.
+const outside = 13 << 20
 
 // fit keeps the runtime within the platform's limits. The heap is small, so it
 // is collected rarely, but the memory limit is kept to with a quarter to spare,
--- a/internal/registry/eureka/wire.go
+++ b/internal/registry/eureka/wire.go
@@ -191,9 +191,13 @@
 			return nil
 		}
 	}
-	if i.ID != "" {
-		p.a.Instances = append(p.a.Instances, *i)
+	if i.ID == "" {
+		return nil
 	}
+	if n := len(p.a.Instances); n == cap(p.a.Instances) { // doubled: append's own steps leave five times the list behind
+		p.a.Instances = slices.Grow(p.a.Instances, max(n, 64))
+	}
+	p.a.Instances = append(p.a.Instances, *i)
 	return nil
 }
 
--- a/internal/registry/merge/merge.go
+++ b/internal/registry/merge/merge.go
@@ -168,6 +168,7 @@
 	}
 	m.events <- func(now time.Duration) {
 		changes, err := m.set.Whole(now, number, replica, whole)
+		whole = nil // it is not needed while the changes are told
 		if err != nil {
 			slog.Warn("membership: list refused, the last one stays", "err", err)
 		}
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -107,8 +107,9 @@
 
 const (
 	// nodeBytes is what a node takes in all modules together, measured at 10,000 of
-	// them (docs/benchmarks.md), and besides what a list needs while it is read.
-	nodeBytes = 1600
+	// them (docs/benchmarks.md), with what the list needs while it is read for the
+	// first time.
+	nodeBytes = 2200
 	// withoutNodes is what the program takes before the first of them, with some
 	// room for requests.
 	withoutNodes = 16 << 20
