Let tests miss the guards that none did: document types, depth, wrong values

Change: rows for each and for the depth of JSON objects, and a broken file. No code of the program changes.

--- a/internal/registry/eureka/quirks_test.go
+++ b/internal/registry/eureka/quirks_test.go
@@ -104,7 +104,9 @@
 		`<applications/>`: true, `<application><instance><status>UP</status></instance></application>`: true,
 		"": false, "null": false, "[]": false, `{"x":1}`: false, `{"applications":{}}x`: false, `{"applications":7}`: false, `{"applications":[7]}`: false,
 		`{"applications":{"application":"x"}}`: false, `{"applications":`: false, "<applications>": false, "<html/>": false, "<applications/>x": false,
-		"<applications/><applications/>": false, "<applications><application></applications>": false,
+		"<applications/><applications/>": false, "<!DOCTYPE applications><applications/>": false,
+		one + `{"vipAddress":` + strings.Repeat(`{"$":`, 40) + `1` + strings.Repeat(`}`, 40) + `}}}`: false,
+		one + `{"later":` + strings.Repeat(`[`, 40) + strings.Repeat(`]`, 40) + `}}}`:                false, "<applications><application></applications>": false,
 	} {
 		if a, err := Parse(strings.NewReader(text), nil); (err == nil) != empty || err == nil && len(a.Instances) != 0 {
 			t.Errorf("%.80q: %+v, %v", text, a, err)
@@ -128,6 +130,7 @@
 		"a long key":         `{"applications":{"` + strings.Repeat("x", ten) + `":1}}`,
 		"a long number":      `{"applications":{"versions__delta":` + strings.Repeat("1", ten) + `}}`,
 		"deep lists":         `{"applications":{"x":` + strings.Repeat("[", ten),
+		"deep objects":       `{"application":{"instance":{"vipAddress":` + strings.Repeat(`{"$":`, ten/5),
 		"deep elements":      `<applications>` + strings.Repeat("<x>", ten/3),
 		"blanks":             strings.Repeat(" ", ten) + `{"applications":{}}`,
 	} {
