Give the model's two heaps and its draws by share one piece of code each

Need: the heaps of events and of requests at a node stood twice, and so did the draw of a class and of a tenant.

Change: one generic heap whose elements know their place, one draw by shares.

--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -16,7 +16,7 @@
 type engine struct {
 	now    time.Duration
 	last   uint64
-	queue  events
+	queue  heapOf[*event]
 	events uint64 // that have come so far
 }
 
@@ -55,34 +55,45 @@
 	return true
 }
 
-type events []*event
+func (e *event) before(o *event) bool {
+	return e.at < o.at || e.at == o.at && e.order < o.order
+}
 
-func (q events) Len() int { return len(q) }
+func (e *event) place(i int) { e.index = i }
 
-func (q events) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+// ordered is what a heap holds: each knows its place, so that it can be taken out.
+type ordered[T any] interface {
+	before(T) bool
+	place(int) // -1: it is out
 }
 
-func (q events) Swap(i, j int) {
+// heapOf is a heap of container/heap, the one that is before all others first.
+type heapOf[T ordered[T]] []T
+
+func (q heapOf[T]) Len() int { return len(q) }
+
+func (q heapOf[T]) Less(i, j int) bool { return q[i].before(q[j]) }
+
+func (q heapOf[T]) Swap(i, j int) {
 	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+	q[i].place(i)
+	q[j].place(j)
 }
 
-// Push is the heap's.
-func (q *events) Push(x any) {
-	e := x.(*event)
-	e.index = len(*q)
-	*q = append(*q, e)
+// Push is container/heap's.
+func (q *heapOf[T]) Push(x any) {
+	x.(T).place(len(*q))
+	*q = append(*q, x.(T))
 }
 
-// Pop is the heap's.
-func (q *events) Pop() any {
-	old := *q
-	n := len(old) - 1
-	x := old[n]
-	old[n] = nil
-	*q = old[:n]
-	x.index = -1
+// Pop is container/heap's.
+func (q *heapOf[T]) Pop() any {
+	var none T
+	n := len(*q) - 1
+	x := (*q)[n]
+	(*q)[n] = none // let go
+	*q = (*q)[:n]
+	x.place(-1)
 	return x
 }
 
@@ -92,3 +103,18 @@
 	h.Write([]byte(part))
 	return rand.New(rand.NewPCG(seed, h.Sum64()+uint64(number)*0x9e3779b97f4a7c15))
 }
+
+// draw draws a number under n by the shares.
+func draw(rng *rand.Rand, n int, share func(i int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += share(i)
+	}
+	x := rng.Float64() * sum
+	for i := range n {
+		if x -= share(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -19,7 +19,7 @@
 
 	attained float64 // seconds of service for each request
 	asOf     time.Duration
-	held     jobs
+	held     heapOf[*job]
 	next     *event // the first end, as it is foreseen
 
 	started time.Duration // of its process; cold from then on
@@ -133,33 +133,8 @@
 	n.foresee()
 }
 
-type jobs []*job
-
-func (q jobs) Len() int { return len(q) }
-
-func (q jobs) Less(i, j int) bool {
-	return q[i].ends < q[j].ends || q[i].ends == q[j].ends && q[i].order < q[j].order
-}
-
-func (q jobs) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+func (j *job) before(o *job) bool {
+	return j.ends < o.ends || j.ends == o.ends && j.order < o.order
 }
 
-// Push is the heap's.
-func (q *jobs) Push(x any) {
-	j := x.(*job)
-	j.index = len(*q)
-	*q = append(*q, j)
-}
-
-// Pop is the heap's.
-func (q *jobs) Pop() any {
-	old := *q
-	n := len(old) - 1
-	x := old[n]
-	old[n] = nil
-	*q = old[:n]
-	x.index = -1
-	return x
-}
+func (j *job) place(i int) { j.index = i }
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -92,9 +92,10 @@
 		}
 		c.result.First++
 		c.lastFirst++
-		x := &request{first: c.lastFirst, class: c.draw(), asked: c.now}
+		x := &request{first: c.lastFirst, asked: c.now}
+		x.class = draw(c.pick, len(c.s.Classes), func(i int) float64 { return c.s.Classes[i].Share })
 		if n := len(c.s.Tenants); n > 0 {
-			x.tenant = c.tenant()
+			x.tenant = draw(c.pick, n, func(i int) float64 { return c.s.Tenants[i].Share })
 		}
 		k := &c.s.Classes[x.class]
 		x.work, x.until = k.Work.Seconds(), k.Deadline
@@ -106,35 +107,6 @@
 	})
 }
 
-// draw draws a class by its share.
-func (c *sidecar) draw() int {
-	sum := 0.0
-	for _, k := range c.s.Classes {
-		sum += k.Share
-	}
-	x := c.pick.Float64() * sum
-	for i, k := range c.s.Classes {
-		if x -= k.Share; x < 0 {
-			return i
-		}
-	}
-	return len(c.s.Classes) - 1
-}
-
-func (c *sidecar) tenant() int {
-	sum := 0.0
-	for _, t := range c.s.Tenants {
-		sum += t.Share
-	}
-	x := c.pick.Float64() * sum
-	for i, t := range c.s.Tenants {
-		if x -= t.Share; x < 0 {
-			return i
-		}
-	}
-	return len(c.s.Tenants) - 1
-}
-
 // ask sends one try to the balancer.
 func (c *sidecar) ask(x *request) {
 	c.lastID++
