Check keyed repeats in the model of a fleet, and that its checks see broken rules

Need: the second rule was checked for unsafe requests alone, by a map that grew with the run; and nothing showed that the checks can fail.

Change: a keyed request's effects are counted by cell and window, an unsafe one's over all tries of its client, both with the request itself; small fleets draw the scope of keys. A test breaks each of the four rules on purpose and wants it named.

Memory no longer grows with the requests that have ended.

--- a/cmd/mothlab/main.go
+++ b/cmd/mothlab/main.go
@@ -79,7 +79,7 @@
 		Node:   fleet.NodeParams{Cores: c.Cores, Speed: 1, Queue: 128, ColdFrom: 0.3, ColdTime: 8 * time.Second, ColdMultiple: 2.5},
 		Speeds: []float64{0.75, 0.75, 1.5}, Attempts: 3, Tries: c.Tries, MaxPause: 1200 * time.Millisecond,
 		Classes: []fleet.Class{
-			{Share: 0.85, Work: 40 * time.Millisecond, Aim: 250 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Window: 600 * time.Millisecond},
+			{Share: 0.85, Work: 40 * time.Millisecond, Aim: 250 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Scope: policy.ScopeCell, Window: 600 * time.Millisecond},
 			{Share: 0.15, Work: 60 * time.Millisecond, Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Effect: policy.Unsafe},
 		},
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,7 +22,7 @@
 		Network: time.Duration(rng.IntN(5)) * ms / 4, ListLag: time.Duration(rng.IntN(3000)) * ms, Attempts: 1 + rng.IntN(3), Tries: 1 + rng.IntN(3),
 		MaxPause: time.Duration(rng.IntN(3)) * 500 * ms, Speeds: []float64{1, 0.5, 1.5},
 		Classes: []Class{
-			{Share: 3, Work: 20 * ms, Aim: 250 * ms, Deadline: 2 * time.Second, Effect: policy.Keyed, Window: 600 * ms},
+			{Share: 3, Work: 20 * ms, Aim: 250 * ms, Deadline: 2 * time.Second, Effect: policy.Keyed, Window: 600 * ms, Scope: []policy.Scope{policy.ScopeAll, policy.ScopeCell}[rng.IntN(2)]},
 			{Share: 1, Work: 40 * ms, Aim: 500 * ms, Deadline: 3 * time.Second, Effect: policy.Unsafe},
 			{Share: 1, Work: 10 * ms, Aim: 250 * ms, Deadline: 2 * time.Second, Effect: policy.Safe, Fixed: true},
 		},
@@ -47,7 +47,7 @@
 			t.Fatal(err)
 		}
 		if len(r.Broken) > 0 || r.Cut != "" {
-			t.Errorf("mothlab sim --small --seed %d: %s %s", seed, r.Cut, strings.Join(r.Broken, "; "))
+			t.Errorf("small(%d): %s %s", seed, r.Cut, strings.Join(r.Broken, "; "))
 		}
 		asked += r.Asked
 	}
@@ -56,6 +56,56 @@
 	}
 }
 
+// The checks themselves see what they are there for.
+func TestBrokenRulesAreSeen(t *testing.T) {
+	for rule, do := range map[string]func(c *sidecar, x *request){
+		"rule 1: request 1 of sidecar 0 has a second answer": func(c *sidecar, x *request) { c.answer(x); c.answer(x) },
+		"rule 1: sidecar 0 refuses request 1":                func(c *sidecar, x *request) { c.Fail(x.id); c.Refuse(x.id, 0) },
+		"rule 1: request 2 of sidecar 0 has no answer before its deadline": func(c *sidecar, _ *request) {
+			c.nodes[0].hangs, c.nodes[1].hangs = true, true
+			y := &request{class: 1, effects: new(int), until: time.Second}
+			c.ask(y)
+			c.cancel(y.attempts[0].timeout) // neither its attempt's end nor the module's own timer comes
+			for c.cancel(c.wake); c.step(2 * time.Second); c.cancel(c.wake) {
+			}
+		},
+		"rule 2: request 1": func(c *sidecar, x *request) { c.effect(x, c.nodes[0]); c.effect(x, c.nodes[0]) },
+		"rule 2: request 1 of sidecar 0 may run a second time": func(c *sidecar, x *request) {
+			x.class = 0 // keyed, each node a cell
+			c.effect(x, c.nodes[0])
+			c.effect(x, c.nodes[1])
+		},
+		"rule 3: sidecar 0 sends request 1 to node 0": func(c *sidecar, x *request) {
+			c.drained[0], c.now = time.Second, 4*time.Second
+			c.Send(x.id, 1, 0)
+		},
+		"rule 4: node 0 fell over": func(c *sidecar, x *request) {
+			c.nodes[0].started, c.now = time.Second, 3*time.Second
+			for range 1000 {
+				c.arrive(c.nodes[0], 0.02)
+			}
+		},
+	} {
+		s := small(1)
+		s.Nodes, s.Classes[0].Scope = 2, policy.ScopeCell
+		r := &run{s: &s, offered: make([]offer, 2), network: stream(1, "", 0), lists: stream(1, "", 1)}
+		for i := range 2 {
+			r.nodes = append(r.nodes, &node{engine: &r.engine, p: s.Node, number: i})
+		}
+		c, err := newSidecar(r, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &request{class: 1, effects: new(int), until: time.Second}
+		c.lastID++
+		x.id, c.requests[1] = c.lastID, x
+		do(c, x)
+		if !strings.Contains(strings.Join(r.result.Broken, "\n"), rule) {
+			t.Errorf("%q is not seen: %v", rule, r.result.Broken)
+		}
+	}
+}
+
 // The same scenario gives the same result, whatever runs beside it.
 func TestSameSeedSameResult(t *testing.T) {
 	for seed := range uint64(4) {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -40,19 +40,17 @@
 // run is a run under way.
 type run struct {
 	engine
-	s         *Scenario
-	nodes     []*node
-	sidecars  []*sidecar
-	pick      *rand.Rand // of classes, tenants and work
-	network   *rand.Rand
-	lists     *rand.Rand
-	offered   []offer
-	lastID    policy.RequestID
-	open      int // tries that have no answer
-	effects   map[uint64]int
-	lastFirst uint64
-	result    Result
-	broken    int
+	s        *Scenario
+	nodes    []*node
+	sidecars []*sidecar
+	pick     *rand.Rand // of classes, tenants and work
+	network  *rand.Rand
+	lists    *rand.Rand
+	offered  []offer
+	lastID   policy.RequestID
+	open     int // tries that have no answer
+	result   Result
+	broken   int
 }
 
 // offer is the work offered to a node lately, fading within a second.
@@ -72,7 +70,7 @@
 	}
 	r := &run{
 		s: &s, pick: stream(s.Seed, "requests", 0), network: stream(s.Seed, "network", 0), lists: stream(s.Seed, "lists", 0),
-		offered: make([]offer, s.Nodes), effects: make(map[uint64]int),
+		offered: make([]offer, s.Nodes),
 	}
 	r.result.Latency = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
 	for i := range s.Nodes {
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -39,7 +39,8 @@
 	Aim      time.Duration
 	Deadline time.Duration
 	Effect   policy.Effect
-	Window   time.Duration // keyed: how long nodes drop a repeat
+	Scope    policy.Scope  // keyed: which nodes drop a repeat; each is a cell of its own
+	Window   time.Duration // keyed: for how long, from when the first may have run
 }
 
 // NodeParams is what a node can do.
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -21,7 +21,8 @@
 // request is one try of a client.
 type request struct {
 	id       policy.RequestID
-	first    uint64 // which request of a client it is a try of
+	effects  *int  // how often an unsafe one may have run, over all tries of its client
+	ran      []ran // where and when a keyed one did
 	class    int
 	tenant   int
 	try      int
@@ -34,6 +35,12 @@
 	deadline *event
 }
 
+// ran is an effect of a keyed request: the nodes of a cell drop its repeats for a while.
+type ran struct {
+	cell int
+	at   time.Duration
+}
+
 type attempt struct {
 	number  int
 	job     *job
@@ -49,7 +56,7 @@
 		MarksRepeat: true, ColdFrom: r.s.Node.ColdFrom, ColdTime: r.s.Node.ColdTime, ColdMultiple: r.s.Node.ColdMultiple,
 	}
 	for _, k := range r.s.Classes {
-		cfg.Classes = append(cfg.Classes, policy.Class{Aim: k.Aim, Deadline: k.Deadline, Worth: 1, Effect: k.Effect, Window: k.Window})
+		cfg.Classes = append(cfg.Classes, policy.Class{Aim: k.Aim, Deadline: k.Deadline, Worth: 1, Effect: k.Effect, Scope: k.Scope, Window: k.Window})
 	}
 	var err error
 	if c.b, err = policy.New(cfg, r.s.Seed+uint64(number), c); err != nil {
@@ -91,8 +98,7 @@
 			return
 		}
 		c.result.First++
-		c.lastFirst++
-		x := &request{first: c.lastFirst, asked: c.now}
+		x := &request{effects: new(int), asked: c.now}
 		x.class = draw(c.pick, len(c.s.Classes), func(i int) float64 { return c.s.Classes[i].Share })
 		if n := len(c.s.Tenants); n > 0 {
 			x.tenant = draw(c.pick, n, func(i int) float64 { return c.s.Tenants[i].Share })
@@ -223,10 +229,32 @@
 		c.after(c.delay(), func() { c.end(x, a, policy.TurnedAway) })
 		return
 	}
-	if c.s.Classes[x.class].Effect == policy.Unsafe { // its effect may run from here on
-		if c.effects[x.first]++; c.effects[x.first] > 1 {
-			c.breach("rule 2: request %d of sidecar %d may run a second time, at node %d", x.id, c.number, n.number)
+	c.effect(x, n)
+}
+
+// effect checks the second rule where a request's effect may run from now on.
+func (c *sidecar) effect(x *request, n *node) {
+	k := &c.s.Classes[x.class]
+	times := 0
+	switch k.Effect {
+	case policy.Unsafe:
+		*x.effects++
+		times = *x.effects
+	case policy.Keyed:
+		cell := n.number // each node is one of its own
+		if k.Scope == policy.ScopeAll {
+			cell = 0
 		}
+		for _, r := range x.ran {
+			if r.cell == cell && c.now-r.at <= k.Window {
+				return // a repeat, dropped
+			}
+		}
+		x.ran = append(x.ran, ran{cell, c.now})
+		times = len(x.ran)
+	}
+	if times > 1 {
+		c.breach("rule 2: request %d of sidecar %d may run a second time, at node %d", x.id, c.number, n.number)
 	}
 }
 
@@ -254,7 +282,7 @@
 	if x.try >= c.s.Tries || left <= 0 {
 		return
 	}
-	again := &request{first: x.first, class: x.class, tenant: x.tenant, try: x.try, work: x.work, asked: x.asked, until: left}
+	again := &request{effects: x.effects, class: x.class, tenant: x.tenant, try: x.try, work: x.work, asked: x.asked, until: left}
 	c.open++ // the client goes on waiting
 	c.after(pause, func() {
 		c.open--
