--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,7 +60,7 @@
 		"rule 1: sidecar 0 refuses request 1":                func(c *sidecar, x *request) { c.Fail(x.id); c.Refuse(x.id, 0) },
 		"rule 1: request 2 of sidecar 0 has no answer before its deadline": func(c *sidecar, _ *request) {
 			c.nodes[0].hangs, c.nodes[1].hangs = true, true
-			y := &request{sidecar: c, class: 1, effects: new(int), ends: time.Second}
+			y := c.newRequest(&client{class: 1, ends: time.Second}, 1)
 			c.ask(y)
 			c.cancel(y.attempts[0].timeout) // neither its attempt's end nor the module's own timer comes
 			for c.cancel(c.wake); c.step(2 * time.Second); c.cancel(c.wake) {
@@ -90,7 +90,7 @@
 			t.Fatal(err)
 		}
 		c := r.sidecars[0]
-		x := &request{sidecar: c, class: 1, effects: new(int), ends: time.Second}
+		x := c.newRequest(&client{class: 1, ends: time.Second}, 1)
 		c.lastID++
 		x.id, c.requests[1] = c.lastID, x
 		do(c, x)
@@ -174,10 +174,10 @@
 			var arrive func()
 			arrive = func() {
 				began := e.now
-				n.take(work*draw(rng.ExpFloat64()), func(bool) {
+				n.take(&job{owner: whenEnded(func(bool) {
 					ended++
 					sum += e.now - began
-				})
+				})}, work*draw(rng.ExpFloat64()))
 				e.after(time.Duration(rng.ExpFloat64()*work/rho*1e9), arrive)
 			}
 			e.after(0, arrive)
@@ -250,7 +250,7 @@
 	var e engine
 	n := &node{engine: &e, p: NodeParams{Cores: 1, Speed: 1, Choke: Choke{Above: 3, After: time.Second, Times: 2, Rest: 2 * time.Second, Longest: time.Hour}}}
 	for range 10 {
-		n.take(0.5, func(bool) {})
+		n.take(new(job), 0.5)
 	}
 	state := func(at time.Duration) bool {
 		for e.step(at) {
@@ -507,9 +507,10 @@
 		p               Policy
 	}{{4, 10, Mothridge}, {4, 10, TwoChoices}, {30, 50, Mothridge}, {30, 50, TwoChoices}, {200, 2000, Mothridge}, {200, 2000, TwoChoices}} {
 		b.Run(fmt.Sprintf("%s/%dx%d", size.p, size.sidecars, size.nodes), func(b *testing.B) {
-			s := Small(1)
-			s.Sidecars, s.Nodes, s.Troubles, s.Duration, s.Policy = size.sidecars, size.nodes, nil, 2*time.Second, size.p
-			s.Network, s.List, s.Node.Choke, s.Load, s.Probes = Network{Delay: ms / 2}, List{}, Choke{}, 0.5, false
+			s := calm(size.nodes, 0.5)
+			s.Sidecars, s.Policy, s.Node, s.Network.Delay = size.sidecars, size.p, NodeParams{Cores: 2, Speed: 1, Queue: 64}, ms/2
+			s.Duration = time.Duration(200/size.nodes+1) * 2 * time.Second
+			s.Classes[0].Work, s.Classes[0].Deadline = 20*ms, 2*time.Second
 			events := uint64(0)
 			for range b.N {
 				r, err := Run(s)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -59,14 +59,29 @@
 	}
 }
 
-// job is a request at a node. done hears of its end, false where it was lost.
+// job is a request at a node.
 type job struct {
 	ends  float64 // attained service at which it does
 	order uint64
-	done  func(ok bool)
-	index int // in the heap; -1: it is out
+	owner customer // nil: nobody wants to hear of its end
+	index int      // in the heap; -1: it is out
 }
 
+// customer hears of the end of its job, false where it was lost.
+type customer interface{ jobEnded(ok bool) }
+
+// end tells a job's owner.
+func (j *job) end(ok bool) {
+	if j.owner != nil {
+		j.owner.jobEnded(ok)
+	}
+}
+
+// whenEnded is a customer that is a function.
+type whenEnded func(ok bool)
+
+func (f whenEnded) jobEnded(ok bool) { f(ok) }
+
 // warmth is the share of its speed that a node's process has reached.
 func (n *node) warmth() float64 {
 	if n.p.ColdTime <= 0 || n.started == 0 && !n.p.Fresh {
@@ -166,24 +181,24 @@
 	for len(n.held) > 0 && n.held[0].ends <= n.attained+epsilon {
 		j := heap.Pop(&n.held).(*job)
 		n.served++
-		j.done(true)
+		j.end(true)
 	}
 	n.foresee()
 }
 
-// take takes a request of so much work, in seconds of a core of speed 1; nil
-// says that it is turned away. done hears of its end.
-func (n *node) take(work float64, done func(ok bool)) *job {
+// take takes a job of so much work, in seconds of a core of speed 1; false says
+// that it is turned away.
+func (n *node) take(j *job, work float64) bool {
 	if n.down || n.p.Queue > 0 && len(n.held) >= n.p.Queue {
 		n.turnedAway++
-		return nil
+		return false
 	}
 	n.advance()
 	n.engine.last++
-	j := &job{ends: n.attained + work, order: n.engine.last, done: done}
+	j.ends, j.order = n.attained+work, n.engine.last
 	heap.Push(&n.held, j)
 	n.foresee()
-	return j
+	return true
 }
 
 // drop takes a request off that nobody waits for any more.
@@ -208,7 +223,7 @@
 	n.set(func() { n.started, n.down, n.choked = n.engine.now, !up, false })
 	for _, j := range held { // in the heap's order, which the seed alone decides
 		j.index = -1
-		j.done(false)
+		j.end(false)
 	}
 }
 
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -11,21 +11,49 @@
 
 // request is one try of a client.
 type request struct {
-	sidecar  *sidecar
-	id       policy.RequestID
-	first    policy.RequestID // of the client's first try
-	effects  *int             // how often an unsafe one may have run, over all tries of its client
-	ran      []ran            // where and when a keyed one did
-	class    int
-	tenant   int
+	sidecar *sidecar
+	id      policy.RequestID
+	*client
+	ran      []ran // where and when a keyed one did
 	try      int
-	work     float64
-	asked    time.Duration // the client's first try
-	began    time.Duration // this one
-	ends     time.Duration // the client's whole patience
+	began    time.Duration
 	attempts []*attempt
 	answered bool
 	deadline timer
+
+	// Nearly every request has one attempt: it and its place come with it.
+	attempt attempt
+	places  [1]*attempt
+}
+
+// client is what all tries of a request have in common.
+type client struct {
+	first   policy.RequestID // the first try's
+	effects int              // how often an unsafe one may have run
+	class   int
+	tenant  int
+	work    float64
+	asked   time.Duration // when the first try was
+	ends    time.Duration // its whole patience
+}
+
+// newRequest makes a try.
+func (c *sidecar) newRequest(of *client, try int) *request {
+	x := &request{sidecar: c, client: of, try: try}
+	x.attempts = x.places[:0]
+	return x
+}
+
+// newAttempt adds an attempt.
+func (x *request) newAttempt(n *node) *attempt {
+	a := &x.attempt
+	if len(x.attempts) > 0 {
+		a = new(attempt)
+	}
+	*a = attempt{sidecar: x.sidecar, request: x, number: len(x.attempts), node: n, process: n.process}
+	a.job.owner, a.job.index = a, -1
+	x.attempts = append(x.attempts, a)
+	return a
 }
 
 // ran is an effect of a keyed request: the nodes of a cell drop its repeats for a while.
@@ -41,7 +69,8 @@
 	number  int
 	node    *node
 	process int // of the node, when it was sent
-	job     *job
+	job     job
+	came    bool  // to its node, which took it
 	link    *link // whose connection it is on; nil: connections are not modelled
 	ending  policy.Ending
 	over    bool
@@ -71,7 +100,7 @@
 	case attemptBroken:
 		a.sidecar.end(a, policy.Broken)
 	case attemptDropped:
-		a.node.drop(a.job)
+		a.node.drop(&a.job)
 	}
 }
 
@@ -130,7 +159,7 @@
 			return
 		}
 	}
-	x := &request{class: draw(a.pick, len(a.s.Classes), func(i int) float64 { return a.s.Classes[i].Share })}
+	x := &client{class: draw(a.pick, len(a.s.Classes), func(i int) float64 { return a.s.Classes[i].Share })}
 	if n := len(a.s.Tenants); n > 0 {
 		x.tenant = draw(a.pick, n, share)
 	}
@@ -144,15 +173,15 @@
 	}
 	a := r.s.Replay[i]
 	r.after(a.At-r.now, func() {
-		r.sidecars[i%len(r.sidecars)].begin(&request{class: a.Class, tenant: a.Tenant}, a.Work)
+		r.sidecars[i%len(r.sidecars)].begin(&client{class: a.Class, tenant: a.Tenant}, a.Work)
 		r.replay(i + 1)
 	})
 }
 
 // begin is a client's first try. Work of 0 is drawn.
-func (c *sidecar) begin(x *request, work time.Duration) {
+func (c *sidecar) begin(x *client, work time.Duration) {
 	k := &c.s.Classes[x.class]
-	x.sidecar, x.effects, x.asked, x.ends = c, new(int), c.now, c.now+k.Deadline
+	x.asked, x.ends = c.now, c.now+k.Deadline
 	if x.work = work.Seconds(); work == 0 {
 		x.work = k.Work.Seconds()
 		switch k.Spread {
@@ -169,14 +198,13 @@
 	}
 	c.seen.came(x)
 	c.open++
-	c.ask(x)
+	c.ask(c.newRequest(x, 1))
 }
 
 // ask sends one try to the balancer.
 func (c *sidecar) ask(x *request) {
 	c.lastID++
 	x.id, x.began = c.lastID, c.now
-	x.try++
 	if x.first == 0 {
 		x.first = x.id
 	}
@@ -185,7 +213,9 @@
 	if p := c.s.Clients.Patience; len(p) == 2 {
 		left = min(left, time.Duration(float64(c.s.Classes[x.class].Deadline)*(p[0]+(p[1]-p[0])*c.whims.Float64())))
 	}
-	c.note(x, "asked of sidecar %d, class %d, tenant %d, work %.1f ms, waits %v", c.number, x.class, x.tenant, x.work*1e3, left)
+	if c.watched(x) {
+		c.note(x, "asked of sidecar %d, class %d, tenant %d, work %.1f ms, waits %v", c.number, x.class, x.tenant, x.work*1e3, left)
+	}
 	if c.off { // nothing listens
 		c.lose(x)
 		return
@@ -240,9 +270,8 @@
 	if x.try >= c.s.Clients.Tries || c.now+pause >= x.ends {
 		return false
 	}
-	y := &request{sidecar: c, first: x.first, effects: x.effects, class: x.class, tenant: x.tenant, try: x.try, work: x.work, asked: x.asked, ends: x.ends}
 	c.open++ // the client goes on waiting
-	c.after(pause, func() { c.ask(y) })
+	c.after(pause, func() { c.ask(c.newRequest(x.client, x.try+1)) })
 	return true
 }
 
@@ -271,7 +300,7 @@
 	a.node.open++
 	a.link = l
 	c.put(d, a, attemptReaches)
-	a.node.take(p.Handshake.Seconds(), func(bool) {}) // beside the request's own work
+	a.node.take(new(job), p.Handshake.Seconds()) // beside the request's own work
 }
 
 // reach is when an attempt has come to its node.
@@ -287,8 +316,7 @@
 	default:
 		a.process = n.process
 		c.arrive(n, a.request.work)
-		a.seize()
-		if a.job != nil {
+		if a.came = n.take(&a.job, a.request.work); a.came {
 			c.effect(a.request, n)
 			return
 		}
@@ -297,19 +325,17 @@
 	c.put(c.delay(), a, attemptEnds)
 }
 
-// seize gives an attempt to its node.
-func (a *attempt) seize() {
+// jobEnded is that the node has done its work, or fell over with it.
+func (a *attempt) jobEnded(ok bool) {
 	c, n := a.sidecar, a.node
-	a.job = n.take(a.request.work, func(ok bool) {
-		switch {
-		case n.mute && ok: // worked for, but no word of it comes back
-		case !ok || n.breaks > 0 && c.network.Float64() < n.breaks:
-			c.put(c.delay(), a, attemptBroken)
-		default:
-			a.ending = policy.Served
-			c.put(c.delay(), a, attemptEnds)
-		}
-	})
+	switch {
+	case n.mute && ok: // worked for, but no word of it comes back
+	case !ok || n.breaks > 0 && c.network.Float64() < n.breaks:
+		c.put(c.delay(), a, attemptBroken)
+	default:
+		a.ending = policy.Served
+		c.put(c.delay(), a, attemptEnds)
+	}
 }
 
 // effect checks the second rule where a request's effect may run from now on.
@@ -318,8 +344,8 @@
 	times := 0
 	switch policy.Effect(k.Effect) {
 	case policy.Unsafe:
-		*x.effects++
-		times = *x.effects
+		x.effects++
+		times = x.effects
 	case policy.Keyed:
 		cell := c.cell(n)
 		if k.Scope != Scope(policy.ScopeCell) {
@@ -350,11 +376,15 @@
 	a.over = true
 	c.cancel(a.timeout)
 	c.letGo(a, ending)
-	c.note(x, "attempt %d %s", a.number, endings[ending])
+	if c.watched(x) {
+		c.note(x, "attempt %d %s", a.number, endings[ending])
+	}
 	settled := x.answered
 	if ending == policy.Served && !x.answered {
 		settled = true
-		c.note(x, "served, %v after the first try", c.now-x.asked)
+		if c.watched(x) {
+			c.note(x, "served, %v after the first try", c.now-x.asked)
+		}
 		c.seen.served(x)
 		c.answer(x)
 	}
@@ -383,7 +413,7 @@
 	if a.over {
 		return
 	}
-	if a.job != nil {
+	if a.came {
 		c.put(c.delay(), a, attemptDropped)
 	}
 	c.end(a, ending)
@@ -397,7 +427,7 @@
 	a.over = true
 	c.cancel(a.timeout)
 	c.letGo(a, policy.Cancelled)
-	if a.job != nil {
+	if a.came {
 		c.put(c.delay(), a, attemptDropped)
 	}
 }
--- a/internal/fleet/result.go
+++ b/internal/fleet/result.go
@@ -139,12 +139,12 @@
 }
 
 // tallies are those that a request counts in.
-func (o *observer) tallies(x *request) [3]*Tally {
+func (o *observer) tallies(x *client) [3]*Tally {
 	return [3]*Tally{&o.result.Tally, &o.result.Classes[x.class], &o.result.Tenants[x.tenant]}
 }
 
 // came counts a request's first try.
-func (o *observer) came(x *request) {
+func (o *observer) came(x *client) {
 	for _, t := range o.tallies(x) {
 		t.First++
 	}
@@ -158,7 +158,7 @@
 	o.at(o.now).Served++
 	o.result.Latency.RecordValue(took.Microseconds())
 	o.latency.RecordValue(min(took.Microseconds(), o.latency.HighestTrackableValue()))
-	for _, t := range o.tallies(x) {
+	for _, t := range o.tallies(x.client) {
 		if o.now-x.began <= aim {
 			t.Within++
 		}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -167,11 +167,14 @@
 	}
 }
 
+// watched says whether what happens to a request is told: asked first, as the
+// words cost more than what they are about.
+func (r *run) watched(x *request) bool {
+	return r.watch != 0 && x != nil && (x.first == r.watch || x.id == r.watch)
+}
+
 // note tells of the client that is watched.
 func (r *run) note(x *request, format string, args ...any) {
-	if r.watch == 0 || x == nil || x.first != r.watch && x.id != r.watch {
-		return
-	}
 	r.watch = x.first
 	if len(r.result.Told) < mostTold {
 		r.result.Told = append(r.result.Told, Told{r.now, fmt.Sprintf("try %d (request %d): ", x.try, x.id) + fmt.Sprintf(format, args...)})
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -94,7 +94,9 @@
 			c.abandon(a)
 		}
 		if !x.answered {
-			c.note(x, "its sidecar ended")
+			if c.watched(x) {
+				c.note(x, "its sidecar ended")
+			}
 			c.lose(x)
 		}
 	}
@@ -153,12 +155,13 @@
 	}
 	to--
 	n := c.servers[to].node
-	a := &attempt{sidecar: c, request: x, number: len(x.attempts), node: n, process: n.process}
-	x.attempts = append(x.attempts, a)
+	a := x.newAttempt(n)
 	if at := c.servers[to].drained; at > 0 && c.now > at+drainWithin+slack {
 		c.breach("rule 3: sidecar %d sends request %d to node %d, %v after it heard that it drains", c.number, id, n.number, c.now-at)
 	}
-	c.note(x, "attempt %d goes to node %d%s", a.number, n.number, n.condition())
+	if c.watched(x) {
+		c.note(x, "attempt %d goes to node %d%s", a.number, n.number, n.condition())
+	}
 	if timeout > 0 {
 		a.timeout = c.put(timeout, a, attemptTimesOut)
 	}
@@ -172,7 +175,9 @@
 		c.breach("rule 1: sidecar %d refuses request %d, which has its answer", c.number, id)
 		return
 	}
-	c.note(x, "refused, with a pause of %v", pause)
+	if c.watched(x) {
+		c.note(x, "refused, with a pause of %v", pause)
+	}
 	c.result.Refused++
 	c.seen.at(c.now).Refused++
 	c.answer(x)
@@ -192,7 +197,9 @@
 		c.breach("rule 1: sidecar %d fails request %d, which has its answer", c.number, id)
 		return
 	}
-	c.note(x, "failed")
+	if c.watched(x) {
+		c.note(x, "failed")
+	}
 	c.result.Failed++
 	c.seen.at(c.now).Failed++
 	c.answer(x)
--- a/internal/fleet/single.go
+++ b/internal/fleet/single.go
@@ -31,7 +31,7 @@
 // Take gives the node so much work, of a core of speed 1, after Advance; false
 // says that it is turned away. Done is called from within a later call, once.
 func (s *Single) Take(work time.Duration, done func(ok bool)) bool {
-	return s.node.take(work.Seconds(), done) != nil
+	return s.node.take(&job{owner: whenEnded(done)}, work.Seconds())
 }
 
 // Strike lets a trouble of one node begin; End ends it. Only what a node does by
