--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -81,6 +81,7 @@
 	Fields  map[string][]string // served: by canonical name; the front owns it
 	Body    []byte
 	Pause   time.Duration // refused: how long to stay away
+	Text    string        // refused: why, where something beside the module says so; a line
 }
 
 // Node is one process of the list, as the transport of its protocol reaches it.
