Run plug-ins in the daemon: refuse, tag, regroup, count, reload on SIGHUP

A refusal says when to come back and why on both fronts. SIGHUP takes all plug-ins of the file again or none.

--- a/cmd/mothridge/commands.go
+++ b/cmd/mothridge/commands.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"mothridge/internal/hook"
 	"mothridge/internal/operator"
 	"mothridge/internal/peers"
 	"mothridge/internal/try"
@@ -22,6 +23,7 @@
 	Check   checkCommand   `cmd:"" help:"Check an operators' file and say what it sets."`
 	Try     tryCommand     `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
 	Members membersCommand `cmd:"" help:"Ask a running sidecar for its merged list of nodes, with the reason for each state."`
+	Plugin  pluginCommand  `cmd:"" help:"Check, run, test, format and time programs of the hook language."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in for an outside system, to play with."`
 }
 
@@ -56,6 +58,11 @@
 	if err != nil {
 		return err
 	}
+	for i := range f.Plugins {
+		if _, err := hook.Load(f.Plugins[i].File); err != nil {
+			return err
+		}
+	}
 	fmt.Printf("%s is good: %s\n", c.File, f.Summary())
 	return nil
 }
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -331,6 +331,10 @@
 	if s.listener.isDraining() {
 		h.Set("Connection", "close")
 	}
+	if a.Text != "" {
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		a.Body = []byte(a.Text + "\n")
+	}
 	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	w.WriteHeader(statuses[a.Verdict])
 	w.Write(a.Body)
--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -275,7 +275,7 @@
 		return r.Append(b, a.id)
 	}
 	if fault == nil {
-		fault = &msgrpc.Fault{Kind: kinds[a.core.Verdict], Pause: a.core.Pause}
+		fault = &msgrpc.Fault{Kind: kinds[a.core.Verdict], Pause: a.core.Pause, Text: a.core.Text}
 	}
 	if texts {
 		return fault.AppendText(b, a.id)
--- a/internal/hook/format.go
+++ b/internal/hook/format.go
@@ -13,7 +13,7 @@
 	if _, err := parse(file, source); err != nil {
 		return "", err
 	}
-	l, err := tokens.LexString(file, source)
+	l, err := tokens().LexString(file, source)
 	if err != nil {
 		return "", err
 	}
@@ -21,7 +21,7 @@
 	if err != nil {
 		return "", err
 	}
-	f := &formatter{symbols: tokens.Symbols()}
+	f := &formatter{symbols: tokens().Symbols()}
 	for _, t := range all {
 		f.token(t)
 	}
--- a/internal/hook/syntax.go
+++ b/internal/hook/syntax.go
@@ -24,16 +24,21 @@
 	maxCode    = 16 << 10 // instructions
 )
 
-var tokens = lexer.MustStateful(lexer.Rules{"Root": {
-	{Name: "Comment", Pattern: `#[^\n]*`},
-	{Name: "Space", Pattern: `[ \t\r\n]+`},
-	{Name: "Duration", Pattern: `[0-9]+(ms|s|m|h|d)\b`},
-	{Name: "Float", Pattern: `[0-9]+\.[0-9]+\b`},
-	{Name: "Int", Pattern: `[0-9]+\b`},
-	{Name: "Text", Pattern: `"(\\.|[^"\\\n])*"`},
-	{Name: "Name", Pattern: `[A-Za-z_][A-Za-z0-9_]*`},
-	{Name: "Sign", Pattern: `->|\.\.|==|!=|<=|>=|[-+*/%<>=(){}\[\],:.]`},
-}})
+// tokens are what a source is cut into. Like the parser they are made when the
+// first plug-in is read, and not before: a daemon without plug-ins does not pay
+// for them.
+var tokens = sync.OnceValue(func() *lexer.StatefulDefinition {
+	return lexer.MustStateful(lexer.Rules{"Root": {
+		{Name: "Comment", Pattern: `#[^\n]*`},
+		{Name: "Space", Pattern: `[ \t\r\n]+`},
+		{Name: "Duration", Pattern: `[0-9]+(ms|s|m|h|d)\b`},
+		{Name: "Float", Pattern: `[0-9]+\.[0-9]+\b`},
+		{Name: "Int", Pattern: `[0-9]+\b`},
+		{Name: "Text", Pattern: `"(\\.|[^"\\\n])*"`},
+		{Name: "Name", Pattern: `[A-Za-z_][A-Za-z0-9_]*`},
+		{Name: "Sign", Pattern: `->|\.\.|==|!=|<=|>=|[-+*/%<>=(){}\[\],:.]`},
+	}})
+})
 
 // keywords are no names.
 var keywords = map[string]bool{
@@ -259,10 +264,8 @@
 	Type *typeNode `parser:"'map' '[' @@ ']' '(' ')'"`
 }
 
-// parser is built when the first plug-in is read, and not before: a daemon
-// without plug-ins does not pay for it.
 var parser = sync.OnceValue(func() *participle.Parser[fileNode] {
-	return participle.MustBuild[fileNode](participle.Lexer(tokens), participle.Elide("Comment", "Space"), participle.UseLookahead(3))
+	return participle.MustBuild[fileNode](participle.Lexer(tokens()), participle.Elide("Comment", "Space"), participle.UseLookahead(3))
 })
 
 // Error is what is wrong with a program, and where.
@@ -328,11 +331,11 @@
 // checkNesting bounds how deep the parser will go: it calls itself for each
 // bracket, block and sign before a value.
 func checkNesting(file, source string) error {
-	l, err := tokens.LexString(file, source)
+	l, err := tokens().LexString(file, source)
 	if err != nil {
 		return newError(file, source, lexer.Position{Line: 1, Column: 1}, "%v", err)
 	}
-	sign := tokens.Symbols()["Sign"]
+	sign := tokens().Symbols()["Sign"]
 	depth, run := 0, 0
 	for {
 		t, err := l.Next()
--- a/internal/operator/decode.go
+++ b/internal/operator/decode.go
@@ -31,7 +31,7 @@
 		member, at := v.members[key], join(path, key)
 		field := -1
 		for i := range t.NumField() {
-			if t.Field(i).Tag.Get("toml") == key {
+			if t.Field(i).Tag.Get("toml") == key && key != "" {
 				field = i
 			}
 		}
@@ -189,7 +189,9 @@
 func known(t reflect.Type) []string {
 	var keys []string
 	for i := range t.NumField() {
-		keys = append(keys, t.Field(i).Tag.Get("toml"))
+		if key := t.Field(i).Tag.Get("toml"); key != "" { // else it is not the file's
+			keys = append(keys, key)
+		}
 	}
 	return keys
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"path"
+	"path/filepath"
 	"reflect"
 	"slices"
 	"strconv"
@@ -29,8 +30,15 @@
 	Membership Membership `toml:"membership"`
 	Eureka     []Eureka   `toml:"eureka"`
 	Static     []Static   `toml:"static"`
+
+	Plugins []Plugin `toml:"plugin"`
+
+	path string // where it was read; empty: nowhere
 }
 
+// Path is where the file was read.
+func (f *File) Path() string { return f.path }
+
 // Admin is how the operators' commands reach the running sidecar.
 type Admin struct {
 	Socket  string `toml:"socket"`  // path of a Unix socket; empty: there is none
@@ -182,7 +190,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the operators' file: %w", err)
 	}
-	return Parse(name, text)
+	f, err := Parse(name, text)
+	if err != nil {
+		return nil, err
+	}
+	f.path = name
+	for i := range f.Plugins {
+		if p := &f.Plugins[i]; !filepath.IsAbs(p.File) {
+			p.File = filepath.Join(filepath.Dir(name), p.File)
+		}
+	}
+	return f, nil
 }
 
 // Parse checks a text; name stands in errors for the file's. All that is wrong
@@ -247,6 +265,7 @@
 	}
 	f.checkSources(d)
 	f.checkStandalone(d)
+	f.checkPlugins(d)
 }
 
 // needs notes that a table lacks a key. One that is there and wrong has been noted.
@@ -280,6 +299,9 @@
 	if f.Merges() {
 		parts = append(parts, fmt.Sprintf("%d Eureka registries", len(f.Eureka)), fmt.Sprintf("%d fixed lists", len(f.Static)))
 	}
+	if len(f.Plugins) > 0 {
+		parts = append(parts, fmt.Sprintf("%d plug-ins", len(f.Plugins)))
+	}
 	if f.Limits.Slots > 0 {
 		parts = append(parts, fmt.Sprintf("%d slots", f.Limits.Slots))
 	}
--- a/internal/peers/node.go
+++ b/internal/peers/node.go
@@ -29,6 +29,8 @@
 	Fields  map[string]string
 	Retry   bool
 	Try     int // at a node: how often the request reached one, this time included
+	// Field, at a node, gives the first value of a field that came with it.
+	Field func(name string) string
 }
 
 // Deed is what a node does with a request.
--- a/internal/peers/nodehttp.go
+++ b/internal/peers/nodehttp.go
@@ -37,6 +37,7 @@
 		call := Call{
 			ID: r.Header.Get("Request-Id"), Class: r.Header.Get("Request-Class"), Tenant: r.Header.Get("Tenant"),
 			Key: r.Header.Get("Idempotency-Key"), Timeout: time.Duration(seconds * 1e9), Body: body,
+			Field: r.Header.Get,
 		}
 		call.Unsafe = r.Method == http.MethodPost && call.Key == ""
 		n.inFlight.Add(1)
--- a/internal/peers/noderpc.go
+++ b/internal/peers/noderpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return s.write((&msgrpc.Fault{Kind: msgrpc.KindRejected, Text: err.Error()}).Append(nil, id))
 	}
-	call := Call{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Timeout: c.Left, Body: c.Body}
+	call := Call{ID: c.ID, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Timeout: c.Left, Body: c.Body, Field: func(name string) string { return strings.Join(c.Fields[name], ",") }}
 	n.inFlight.Add(1)
 	a := n.decide(call)
 	if a.Deed != Hang && a.Delay == 0 && a.Wait == nil {
--- a/internal/plugin/breaker/breaker.go
+++ b/internal/plugin/breaker/breaker.go
@@ -39,7 +39,7 @@
 	cfg     Config
 	state   State
 	strikes []time.Duration // times of the last bad calls, oldest first; Strikes of them at the most
-	worst   time.Duration // the last bad call
+	worst   time.Duration   // the last bad call
 	pause   time.Duration
 	until   time.Duration // open: when the first trial may be
 	good    int           // half open: calls in a row
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -33,8 +34,9 @@
 	Sockets   int                                 // the sidecar's limit [1024]
 	Eureka    *peers.Eureka                       // lists the nodes in the platform's place
 	Operators func(*operator.File)
-	Seed      string // of the decision module ["1"]
-	Beside    *Rig   // its nodes and discovery are used, and closed with it alone
+	Reload    <-chan os.Signal // the signals that say 'read your files again'
+	Seed      string           // of the decision module ["1"]
+	Beside    *Rig             // its nodes and discovery are used, and closed with it alone
 }
 
 // Rig is a sidecar among its peers.
@@ -187,7 +189,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
-	go func() { r.ended <- sidecar.Serve(ctx, nil, c, lns) }()
+	go func() { r.ended <- sidecar.Serve(ctx, o.Reload, c, lns) }()
 	return r.awaitList(lns[0].Addr().String())
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,7 +105,16 @@
 		end()
 		loops.Wait()
 	}()
-	d, m, err := c.follow(run, k, &loops)
+	gate, err := c.plugins(run, k, figures, &loops)
+	if err != nil {
+		return err
+	}
+	var taker httpfront.Core = k // what fronts give requests to
+	update := k.Update
+	if gate != nil {
+		taker, update = gate, func(n core.News) { k.Update(gate.Members(n)) }
+	}
+	d, m, err := c.follow(run, k, update, &loops)
 	if err != nil {
 		return err
 	}
@@ -125,7 +134,7 @@
 	loops.Go(func() { k.Run(run) })
 	go sweep(run, transports)
 
-	fronts := c.fronts(k, lns, forClients, figures)
+	fronts := c.fronts(taker, lns, forClients, figures)
 	served := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { served <- f.Serve() }()
@@ -144,12 +153,13 @@
 			} else if c.Discovery != was && d != nil {
 				d.Move(c.Discovery)
 			}
+			c.reloadPlugins(gate)
 		}
 	}
 }
 
 // fronts makes the front of each listener; they share the clients' connections evenly.
-func (c *Config) fronts(k *core.Core, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
+func (c *Config) fronts(k httpfront.Core, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
 	each, effects := connections/len(lns), c.effects()
 	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each}
 	fronts := make([]front, len(lns))
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -22,13 +22,12 @@
 // follow starts to follow the sources of the list. Where the platform's
 // discovery is the only one its news go to the core as they come; else the
 // membership module merges them. It returns the platform's, if that is one.
-func (c *Config) follow(ctx context.Context, k *core.Core, loops *sync.WaitGroup) (*platform.Discovery, *merge.Merger, error) {
-	update := k.Update
+func (c *Config) follow(ctx context.Context, k *core.Core, update func(core.News), loops *sync.WaitGroup) (*platform.Discovery, *merge.Merger, error) {
 	o := &c.Operator
 	var m *merge.Merger
 	if o.Merges() {
 		var err error
-		if m, err = c.merger(k); err != nil {
+		if m, err = c.merger(update); err != nil {
 			return nil, nil, err
 		}
 		loops.Go(func() { m.Run(ctx) })
@@ -130,7 +129,7 @@
 }
 
 // merger makes the one for the sources of the operators' file.
-func (c *Config) merger(k *core.Core) (*merge.Merger, error) {
+func (c *Config) merger(update func(core.News)) (*merge.Merger, error) {
 	o := &c.Operator
 	var sources []membership.Source
 	if o.UsesPlatform() {
@@ -150,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return merge.New(set, k.Update), nil
+	return merge.New(set, update), nil
 }
 
 // followOthers starts those of the operators' file; number is the first one's.
