--- a/cmd/mothlab/experiments.go
+++ b/cmd/mothlab/experiments.go
@@ -98,6 +98,8 @@
 	Results  string `help:"Results file; FILE.results by default." type:"path"`
 	HTML     string `help:"Write a page there." type:"path"`
 	CSV      string `help:"Write all runs there." type:"path"`
+	SVG      string `help:"Write a picture of the means of --measure there." type:"path"`
+	Measure  string `default:"good" help:"Of --svg."`
 	Pictures int    `default:"12" help:"Combinations of levels to draw a run of, each played again."`
 }
 
@@ -129,7 +131,14 @@
 		}
 		return errors.Join(do(f), f.Close())
 	}
-	return errors.Join(write(c.CSV, s.WriteCSV), write(c.HTML, func(w io.Writer) error {
+	picture := func(w io.Writer) error {
+		text, err := s.Means(c.Measure, true)
+		if err == nil {
+			_, err = io.WriteString(w, string(text)+"\n")
+		}
+		return err
+	}
+	return errors.Join(write(c.CSV, s.WriteCSV), write(c.SVG, picture), write(c.HTML, func(w io.Writer) error {
 		return s.WriteHTML(w, c.Pictures, func(s string) { fmt.Fprintln(o.log, s) })
 	}))
 }
