Suspend a plug-in for longer that fails again soon, and tell of it once a minute

A breaker that opens within ten pauses of closing now doubles its pause, and a plug-in's failures are told once a minute, with their count.

--- a/internal/plugin/breaker/breaker.go
+++ b/internal/plugin/breaker/breaker.go
@@ -20,7 +20,7 @@
 type Config struct {
 	Strikes   int           // bad calls within Window that open it
 	Window    time.Duration //
-	Pause     time.Duration // before the first trial; doubled each time a trial is bad
+	Pause     time.Duration // before the first trial; doubled each time a trial is bad, or it opens again soon
 	MostPause time.Duration
 	Trials    int // good calls in a row that close it
 }
@@ -34,17 +34,22 @@
 	DefaultTrials    = 3
 )
 
+// soon is within how many of its last pauses it opens again soon.
+const soon = 10
+
 // Breaker follows one plug-in. It is not safe for concurrent use.
 type Breaker struct {
 	cfg     Config
 	state   State
 	strikes []time.Duration // times of the last bad calls, oldest first; Strikes of them at the most
 	worst   time.Duration   // the last bad call
-	pause   time.Duration
-	until   time.Duration // open: when the first trial may be
-	good    int           // half open: calls in a row
-	trial   bool          // half open: one is under way
-	since   time.Duration // of a trial that is under way
+	// closedAt is when it closed last; 0: it has not been open.
+	closedAt time.Duration
+	pause    time.Duration
+	until    time.Duration // open: when the first trial may be
+	good     int           // half open: calls in a row
+	trial    bool          // half open: one is under way
+	since    time.Duration // of a trial that is under way
 }
 
 // New makes a closed one.
@@ -106,7 +111,7 @@
 		if b.good++; b.good < b.cfg.Trials {
 			return false
 		}
-		b.state, b.strikes = Closed, b.strikes[:0]
+		b.state, b.strikes, b.closedAt = Closed, b.strikes[:0], now
 		return true
 	}
 	if !bad {
@@ -123,6 +128,11 @@
 	if len(b.strikes) < b.cfg.Strikes || now-b.strikes[0] > b.cfg.Window {
 		return false
 	}
+	// Where only some calls are bad the trials are likely good ones, and it would
+	// open and close for ever.
+	if b.closedAt > 0 && now < b.closedAt+soon*b.pause {
+		b.pause = min(2*b.pause, b.cfg.MostPause)
+	}
 	b.open(now)
 	return true
 }
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -56,7 +56,7 @@
 	breaker *breaker.Breaker
 	begin   time.Time
 	named   map[string]uint64 // its own counts
-	told    bool              // its last failure's kind was told
+	tellAt  time.Duration     // what goes wrong is told again after this
 
 	runs, refused, failed, exhausted, denied, skipped atomic.Uint64
 }
@@ -67,6 +67,7 @@
 	mostFields = 16 << 10 // bytes of a request's header with what was set
 	mostReason = 200      // bytes
 	mostPause  = time.Hour
+	tellEvery  = time.Minute // at most, of a plug-in that fails
 	// TagField holds the tags of a request; what a client sends of it is dropped.
 	TagField = "Request-Tags"
 )
@@ -139,8 +140,10 @@
 	bad := errors.Is(err, hook.ErrFuel) || errors.Is(err, hook.ErrMemory) || errors.Is(err, hook.ErrDepth) || errors.Is(err, errPanic)
 	p.mu.Lock()
 	changed := p.breaker.Done(time.Since(p.begin), bad)
-	state, tell := p.breaker.State(), err != nil && !p.told
-	p.told = err != nil
+	state, tell := p.breaker.State(), (err != nil || changed) && now >= p.tellAt
+	if tell {
+		p.tellAt = now + tellEvery
+	}
 	p.mu.Unlock()
 	if err != nil {
 		p.failed.Add(1)
@@ -150,12 +153,9 @@
 		if errors.Is(err, errDenied) {
 			p.denied.Add(1)
 		}
-		if tell {
-			slog.Warn("plug-in failed", "plugin", p.spec.Name, "err", err)
-		}
 	}
-	if changed {
-		slog.Warn("plug-in", "plugin", p.spec.Name, "breaker", state.String())
+	if tell { // the counts have the rest: a log that grows with what goes wrong is a fault of its own
+		slog.Warn("plug-in", "plugin", p.spec.Name, "breaker", state.String(), "failed", p.failed.Load(), "err", err)
 	}
 	return false, err
 }
