--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -326,6 +326,19 @@
 	}
 }
 
+// A list that is asked for: drains are heard of by the subscription, and after a
+// silence of it by another one.
+func TestAskedList(t *testing.T) {
+	s := calm(4, 0.4)
+	s.Duration, s.List = 40*time.Second, List{Asked: true, Lag: 500 * ms}
+	s.Troubles = []Trouble{{Kind: Drain, At: 5 * time.Second, Node: 0}, {Kind: Silent, At: 10 * time.Second, For: 10 * time.Second}, {Kind: Drain, At: 12 * time.Second, Node: 1}}
+	s.Tenants = nil
+	r := must(t, s)
+	if a, b, c := r.NodeServed[0], r.NodeServed[1], r.NodeServed[2]; a*4 > c || b*3 > c*2 || a == 0 || r.Share() < 0.95 {
+		t.Errorf("good %.3f; nodes that drain from 5.5 s and 20 to 25 s on served %d and %d, another one %d", r.Share(), a, b, c)
+	}
+}
+
 // Connections: one serves many requests, a node takes no more than its bound, an
 // idle one is closed.
 func TestConnections(t *testing.T) {
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -13,7 +13,7 @@
 
 // hear takes news of a node.
 func (c *sidecar) hear(n *node, state policy.State) {
-	if c.off {
+	if c.off || !c.told {
 		return
 	}
 	if c.members != nil {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -197,7 +197,9 @@
 	case Silent:
 		r.silent = r.now + t.For
 		for _, c := range r.sidecars {
-			c.b.List(c.time(), policy.ListFailed, nil)
+			if c.told = !r.s.List.Asked; !c.off {
+				c.b.List(c.time(), policy.ListFailed, nil)
+			}
 		}
 		return
 	case Stale:
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -120,6 +120,7 @@
 // List is how sidecars hear of nodes.
 type List struct {
 	Lag        time.Duration `toml:"lag,omitempty"`        // longest delay of news, even from 0
+	Asked      bool          `toml:"asked,omitempty"`      // not pushed: sidecars subscribe, and lose that when the list falls silent
 	Membership bool          `toml:"membership,omitempty"` // by way of the membership module
 	Cell       int           `toml:"cell,omitempty"`       // nodes that remember keys in common; 0: one
 }
@@ -278,6 +279,8 @@
 		return fmt.Errorf("clients: patience %v: two shares, the lesser first, are meant", c.Patience)
 	case c.Heeds < 0 || c.Heeds > 1 || s.Daily.Swing < 0 || s.Daily.Swing > 1:
 		return fmt.Errorf("clients: heeds %v, daily: swing %v: shares are meant", c.Heeds, s.Daily.Swing)
+	case s.List.Asked && s.List.Membership:
+		return fmt.Errorf("list: asked and membership: one of the two is meant")
 	case s.Network.Delay < 0 || s.List.Lag < 0 || s.Network.Handshake < 0 || c.MaxPause < 0 || c.Pause < 0 || s.Skew < 0 || s.Slots < 0:
 		return fmt.Errorf("a delay, a lag, a pause, skew or slots below 0")
 	case !slices.Contains(policies, s.Policy):
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -22,6 +22,7 @@
 	wake     timer
 	links    []*link
 
+	told    bool            // of the list: it was pushed, or asked for and not lost since
 	members *membership.Set // nil: news come straight from the list
 	ids     map[string]policy.ServerID
 	servers []server // by id, less one
@@ -43,7 +44,7 @@
 	}
 	cfg := policy.Config{
 		Balancers: s.Sidecars, Slots: s.Slots, MaxAttempts: s.Attempts, MayCancel: true, MaxRetryAfter: s.Clients.MaxPause, MarksRepeat: true,
-		MayProbe: s.Probes, Reports: s.Probes, ColdFrom: s.Node.ColdFrom, ColdTime: s.Node.ColdTime, ColdMultiple: s.Node.ColdMultiple,
+		AskList: s.List.Asked, AskWithin: askWithin, MayProbe: s.Probes, Reports: s.Probes, ColdFrom: s.Node.ColdFrom, ColdTime: s.Node.ColdTime, ColdMultiple: s.Node.ColdMultiple,
 	}
 	for _, k := range s.Classes {
 		cfg.Classes = append(cfg.Classes, policy.Class{Aim: k.Aim, Deadline: k.Deadline, Worth: 1, Effect: policy.Effect(k.Effect), Scope: policy.Scope(k.Scope), Window: k.Window})
@@ -67,8 +68,11 @@
 			c.servers = append(c.servers, server{node: n})
 		}
 	}
+	c.told = !s.List.Asked
 	c.b.Start(c.time())
-	c.hearAll(c.states())
+	if c.told {
+		c.hearAll(c.states())
+	}
 	return nil
 }
 
@@ -244,8 +248,32 @@
 	})
 }
 
-// WatchList is not asked for: the list is pushed.
-func (c *sidecar) WatchList() {}
+// askWithin is how long a sidecar may go without asking for a list that is asked
+// for, and listCall how long such a call waits.
+const (
+	askWithin = 10 * time.Second
+	listCall  = time.Second
+)
+
+// WatchList subscribes to a list that must be asked for.
+func (c *sidecar) WatchList() {
+	life := c.life
+	answer := func(d time.Duration, do func()) {
+		c.after(d, func() {
+			if c.life == life && !c.off {
+				do()
+			}
+		})
+	}
+	if c.now < c.silent {
+		answer(listCall, func() { c.b.List(c.time(), policy.ListFailed, nil) })
+		return
+	}
+	answer(c.lag(), func() {
+		c.told = true
+		c.hearAll(c.states())
+	})
+}
 
 // condition says in words what is wrong with a node.
 func (n *node) condition() string {
--- a/internal/fleet/small.go
+++ b/internal/fleet/small.go
@@ -18,7 +18,7 @@
 		Node:     NodeParams{Cores: 1 + rng.IntN(4), Speed: 1, Queue: 64, ColdFrom: 0.3, ColdTime: 8 * time.Second, ColdMultiple: 2.5, KeepsAbandoned: one(0.2)},
 		Speeds:   []float64{1, 0.5, 1.5},
 		Network:  Network{Delay: upTo(4, ms/4)},
-		List:     List{Lag: upTo(3000, ms), Membership: one(0.3), Cell: rng.IntN(4)},
+		List:     List{Lag: upTo(3000, ms), Cell: rng.IntN(4)},
 		Attempts: 1 + rng.IntN(3), Probes: one(0.3), Skew: rng.Float64(),
 		Clients: Clients{Tries: 1 + rng.IntN(3), MaxPause: upTo(3, 500*ms), Heeds: rng.Float64(), Pause: upTo(4, 50*ms), Insists: one(0.3)},
 		Classes: []Class{
@@ -35,6 +35,11 @@
 	if one(0.5) {
 		s.Network.Handshake, s.Network.Trips, s.Network.Idle, s.Network.Most = 4*ms, 2, 5*time.Second, 20+rng.IntN(400)
 	}
+	if one(0.3) {
+		s.List.Membership = true
+	} else {
+		s.List.Asked = one(0.3)
+	}
 	if one(0.5) {
 		s.Clients.Patience = []float64{0.5, 0.8}
 	}
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -80,12 +80,14 @@
 	defer stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	for i, p := range plan {
-		if !sleep(ctx, time.Until(g.began.Add(p.At))) {
-			break
+	peers.OpenLoop(ctx, g.began, func(i int) (time.Duration, bool) {
+		if i == len(plan) {
+			return 0, false
 		}
-		wg.Go(func() { g.client(ctx, i, p) })
-	}
+		return plan[i].At, true
+	}, func(i int, due time.Time) {
+		wg.Go(func() { g.client(ctx, i, plan[i], due) })
+	})
 	wg.Wait()
 	return g.result, ctx.Err()
 }
@@ -128,9 +130,8 @@
 }
 
 // client is one client: its tries until it has an answer or gives up.
-func (g *generator) client(ctx context.Context, number int, p fleet.Planned) {
+func (g *generator) client(ctx context.Context, number int, p fleet.Planned, asked time.Time) {
 	s, k := &g.Scenario, &g.Scenario.Classes[p.Class]
-	asked := g.began.Add(p.At)
 	w := &g.result.Windows[min(int(p.At/time.Second), len(g.result.Windows)-1)]
 	g.mu.Lock()
 	g.sent++
--- a/internal/plugin/gate.go
+++ b/internal/plugin/gate.go
@@ -167,7 +167,7 @@
 	for _, p := range s.request {
 		g.describe(w, r)
 		var refusal *core.Answer
-		_, err := p.run(w, func(effects []hook.Effect) error {
+		skipped, err := p.run(w, func(effects []hook.Effect) error {
 			var err error
 			refusal, err = g.accept(p, r, effects)
 			return err
@@ -177,9 +177,9 @@
 		case refusal != nil:
 			p.refused.Add(1)
 			return refusal
-		case err != nil && (p.spec.Refuse || slices.Contains(p.spec.Refused, g.cfg.Classes[r.Class])):
+		case (err != nil || skipped) && (p.spec.Refuse || slices.Contains(p.spec.Refused, g.cfg.Classes[r.Class])):
 			p.refused.Add(1)
-			return &core.Answer{Verdict: core.Refused, Pause: time.Second, Text: "the plug-in " + p.spec.Name + " failed"}
+			return &core.Answer{Verdict: core.Refused, Pause: time.Second, Text: "the plug-in " + p.spec.Name + " does not work"}
 		}
 	}
 	return nil
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -151,6 +151,10 @@
 	if c := p.Counts(); c.Exhausted != breaker.DefaultStrikes || c.Skipped != 50-breaker.DefaultStrikes || p.breaker.State() != breaker.Open {
 		t.Errorf("%+v, %v", c, p.breaker.State())
 	}
+	p.spec.Refuse = true
+	if _, answers := send(g, 0, nil); len(answers) != 1 || answers[0].Verdict != core.Refused {
+		t.Errorf("left out, with a rule that refuses: %+v", answers)
+	}
 	if n := (&view{kept: p.kept, decls: p.program.States}).Value(0, ""); n != 0 {
 		t.Errorf("failed runs left a count of %d", n)
 	}
--- a/internal/try/try.go
+++ b/internal/try/try.go
@@ -193,14 +193,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	every := time.Second / time.Duration(max(1, d.Rate))
-	tick := time.NewTicker(every)
-	defer tick.Stop()
-	for i := 0; ; i++ {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+	peers.OpenLoop(ctx, time.Now(), func(i int) (time.Duration, bool) { return time.Duration(i) * every, true }, func(i int, due time.Time) {
 		class := rig.Read
 		switch p := random.Float64(); {
 		case p < 0.15:
@@ -213,14 +206,13 @@
 			tenant = rig.Tenant(1)
 		}
 		c := rig.Request(class, fmt.Sprintf("%s-%06d", class, i), tenant)
-		wg.Go(func() { d.ask(client, c) })
-	}
+		wg.Go(func() { d.ask(client, c, due) })
+	})
 }
 
-func (d *day) ask(client peers.Client, c peers.Call) {
+func (d *day) ask(client peers.Client, c peers.Call, began time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout+time.Second)
 	defer cancel()
-	began := time.Now()
 	got := client.Do(ctx, c)
 	took := time.Since(began)
 	d.mu.Lock()
--- a/internal/try/try_test.go
+++ b/internal/try/try_test.go
@@ -50,7 +50,7 @@
 	for i := range 30 {
 		send(cold, peers.HTTP, "harvest-entry-c"+strings.Repeat("x", i))
 	}
-	d.ask(brokenClient{}, rig.Request(rig.Read, "read-1", "north"))
+	d.ask(brokenClient{}, rig.Request(rig.Read, "read-1", "north"), time.Now())
 	err = d.verdict()
 	if n := strings.Count(out.String(), "BROKEN"); n != 4 || err == nil {
 		t.Errorf("%d rules are said to be broken, error %v:\n%s", n, err, out.String())
