--- a/internal/rig/plugins_test.go
+++ b/internal/rig/plugins_test.go
@@ -39,9 +39,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		listeners, pools := f.Listeners, f.Pools
+		limits, listeners, pools := f.Limits, f.Listeners, f.Pools
 		*f = *own
-		f.Listeners, f.Pools = listeners, pools
+		f.Limits, f.Listeners, f.Pools = limits, listeners, pools
 	}, rewrite
 }
 
@@ -212,3 +212,20 @@
 		})
 	}
 }
+
+// BenchmarkPlugins is what a request costs through the real program, by how many
+// plug-ins see it, each of which tags it.
+func BenchmarkPlugins(b *testing.B) {
+	for _, n := range []int{0, 1, 10} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			manifests, programs := "", []string{}
+			for i := range n {
+				manifests += fmt.Sprintf("[[plugin]]\nname = \"p%d\"\nfile = \"%d.hook\"\n", i, i)
+				programs = append(programs, `on request { if event.class == "read" and has_prefix(event.target, "/") { tag("seen") } }`)
+			}
+			set, _ := operators(b, manifests, programs...)
+			r := start(b, Options{Operators: set, Number: 1, Slots: 1024, Sockets: 4096})
+			load(b, r.Addr, r.Front, 16)
+		})
+	}
+}
