Keep requests within nested quotas in the program; mothridge quota; reload

The quota module now stands before the core: [[quota]] in the operators' file (off without one), matched by tenant, header or a plug-in's tag, charges given back when the decision module refuses, balances kept over SIGHUP, 'mothridge quota' with why the last refusal was.

--- a/cmd/mothridge/commands.go
+++ b/cmd/mothridge/commands.go
@@ -24,6 +24,7 @@
 	Try     tryCommand     `cmd:"" help:"Play a short day in this process, over loopback, and check the four rules."`
 	Members membersCommand `cmd:"" help:"Ask a running sidecar for its merged list of nodes, with the reason for each state."`
 	Plugin  pluginCommand  `cmd:"" help:"Check, run, test, format and time programs of the hook language."`
+	Quota   quotaCommand   `cmd:"" help:"Ask a running sidecar how its quotas stand: used, lent, owed, and why the last refusal was."`
 	Standin standinCommand `cmd:"" help:"Run a stand-in for an outside system, to play with."`
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -40,6 +40,9 @@
 	// Reply takes the one answer. It is called on the core's goroutine and must
 	// not block.
 	Reply func(Answer)
+	// Left, where something between front and core sets it, is called once the
+	// client has gone before its answer; the core has no part in it.
+	Left func()
 
 	id       policy.RequestID
 	taken    time.Duration // by the module's clock
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -32,6 +32,8 @@
 	Static     []Static   `toml:"static"`
 
 	Plugins []Plugin `toml:"plugin"`
+	Lending Quotas   `toml:"quotas"`
+	Quotas  []Quota  `toml:"quota"`
 
 	path string // where it was read; empty: nowhere
 }
@@ -266,6 +268,7 @@
 	f.checkSources(d)
 	f.checkStandalone(d)
 	f.checkPlugins(d)
+	f.checkQuotas(d)
 }
 
 // needs notes that a table lacks a key. One that is there and wrong has been noted.
@@ -302,6 +305,9 @@
 	if len(f.Plugins) > 0 {
 		parts = append(parts, fmt.Sprintf("%d plug-ins", len(f.Plugins)))
 	}
+	if len(f.Quotas) > 0 {
+		parts = append(parts, fmt.Sprintf("%d quotas", len(f.Quotas)))
+	}
 	if f.Limits.Slots > 0 {
 		parts = append(parts, fmt.Sprintf("%d slots", f.Limits.Slots))
 	}
--- /dev/null
+++ b/internal/quotas/quotas.go
@@ -0,0 +1,229 @@
+// Package quotas keeps requests within the operators' quotas: it stands between
+// the fronts and the core, finds whose share a request counts in, has the quota
+// module decide, and gives back what a request did not use.
+package quotas
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mothridge/internal/core"
+	"mothridge/quota"
+)
+
+// Core is what requests go on to.
+type Core interface {
+	Submit(*core.Request)
+	Abandon(*core.Request)
+	Holds(id string) bool
+	Ready() bool
+}
+
+// Match says which requests belong to a node of the tree, among those that
+// belong to its parent. All that is set must fit; one of which nothing is set
+// gets no request of its own.
+type Match struct {
+	Tenant string
+	Header string // canonical name, of which Value must be the value
+	Value  string
+	Tag    string // one that a plug-in gave
+}
+
+// Config is what a Gate keeps to.
+type Config struct {
+	Tree    quota.Config
+	Matches map[string]Match // by node
+	Part    float64          // of every limit, that this sidecar may use
+	Tenants []string
+	Worth   []float64     // by class
+	Most    time.Duration // the longest pause that clients heed; 0: any
+}
+
+// Gate is a Core for the fronts. It is safe for concurrent use.
+type Gate struct {
+	Core
+	begin time.Time
+
+	mu       sync.Mutex
+	cfg      Config
+	tree     *quota.Tree
+	children map[string][]string
+	root     string
+}
+
+// New makes one; the error names the node that is wrong.
+func New(c Config) (*Gate, error) {
+	g := &Gate{begin: time.Now()}
+	return g, g.Load(c)
+}
+
+// Load takes another tree in the place of the one there is, with the balances of
+// the nodes that stay. Requests under way give back to the tree that they took of.
+func (g *Gate) Load(c Config) error {
+	if !(c.Part > 0 && c.Part <= 1) {
+		return fmt.Errorf("quota: a part of %v for this sidecar: above 0, and 1 at most, is meant", c.Part)
+	}
+	scaled := c.Tree
+	scaled.Nodes = slices.Clone(c.Tree.Nodes)
+	for i := range scaled.Nodes {
+		n := &scaled.Nodes[i]
+		n.Limits = slices.Clone(n.Limits)
+		for j := range n.Limits {
+			n.Limits[j].Rate *= c.Part
+			n.Limits[j].Ceiling *= c.Part
+		}
+	}
+	tree, err := quota.New(scaled)
+	if err != nil {
+		return err
+	}
+	children := make(map[string][]string)
+	for _, n := range scaled.Nodes {
+		if m, ok := c.Matches[n.Name]; ok && m.Tenant != "" && !slices.Contains(c.Tenants, m.Tenant) {
+			return fmt.Errorf("quota: %q: there is no tenant %q: one of %q is meant", n.Name, m.Tenant, c.Tenants)
+		}
+		if n.Parent != "" {
+			children[n.Parent] = append(children[n.Parent], n.Name)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tree != nil {
+		tree.Keep(g.tree, g.now())
+	}
+	g.cfg, g.tree, g.children, g.root = c, tree, children, scaled.Nodes[0].Name
+	return nil
+}
+
+// Behind sets what requests go on to. It comes before the first of them.
+func (g *Gate) Behind(c Core) { g.Core = c }
+
+func (g *Gate) now() time.Duration { return time.Since(g.begin) }
+
+// leaf finds the node that a request counts in: from the root on into the first
+// child that fits.
+func (g *Gate) leaf(r *core.Request) string {
+	at := g.root
+next:
+	for {
+		for _, c := range g.children[at] {
+			if m, ok := g.cfg.Matches[c]; ok && g.fits(m, r) {
+				at = c
+				continue next
+			}
+		}
+		return at
+	}
+}
+
+// leastPause is what a client is told at least: at the very instant at which there
+// is enough again, others are there too.
+const leastPause = 10 * time.Millisecond
+
+// tagField is where plug-ins put tags.
+const tagField = "Request-Tags"
+
+func (g *Gate) fits(m Match, r *core.Request) bool {
+	if m == (Match{}) || m.Tenant != "" && (r.Tenant >= len(g.cfg.Tenants) || g.cfg.Tenants[r.Tenant] != m.Tenant) {
+		return false
+	}
+	if m.Header != "" && (len(r.Fields[m.Header]) == 0 || r.Fields[m.Header][0] != m.Value) {
+		return false
+	}
+	return m.Tag == "" || len(r.Fields[tagField]) > 0 && slices.Contains(strings.Split(r.Fields[tagField][0], ","), m.Tag)
+}
+
+// Submit passes a request on that is within its quota, or answers it.
+func (g *Gate) Submit(r *core.Request) {
+	g.mu.Lock()
+	q := quota.Request{Node: g.leaf(r), Again: r.Repeat, Cost: quota.Cost{quota.Requests: 1, quota.Worth: g.cfg.Worth[r.Class], quota.Bytes: float64(len(r.Body)), quota.Concurrent: 1}}
+	tree, most := g.tree, g.cfg.Most
+	d := tree.Ask(g.now(), q)
+	g.mu.Unlock()
+	if d.Outcome == quota.Refused {
+		pause := max(d.Pause, leastPause)
+		if most > 0 {
+			pause = min(pause, most)
+		}
+		r.Reply(core.Answer{Verdict: core.Refused, Pause: pause, Text: "over quota: " + d.Why.String()})
+		return
+	}
+	reply := r.Reply
+	var once sync.Once
+	end := func(ran bool) {
+		once.Do(func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			if ran {
+				tree.Release(d.Receipt)
+			} else {
+				tree.Refund(d.Receipt)
+			}
+		})
+	}
+	r.Reply = func(a core.Answer) {
+		end(a.Verdict != core.Refused && a.Verdict != core.Duplicate)
+		reply(a)
+	}
+	r.Left = func() { end(true) } // there will be no answer
+	g.Core.Submit(r)
+}
+
+// Abandon gives back what a request held at once whose client has left.
+func (g *Gate) Abandon(r *core.Request) {
+	g.Core.Abandon(r)
+	if r.Left != nil {
+		r.Left()
+	}
+}
+
+// NodeView is a node's state for people.
+type NodeView struct {
+	Name, Parent string
+	Depth        int
+	Usage        quota.Usage
+	Limits       []LimitView
+	Owes         []OwedView
+	Refusal      string  `json:",omitempty"`
+	RefusedAgo   float64 `json:",omitempty"` // seconds
+}
+
+// LimitView is a limit and what is left of it.
+type LimitView struct {
+	Dimension     string
+	Rate, Ceiling float64
+	Window        string
+	Left          float64
+}
+
+// OwedView is a debt.
+type OwedView struct {
+	To, Dimension string
+	Amount        float64
+}
+
+// View tells how every node stands, parents before their children.
+func (g *Gate) View() []NodeView {
+	g.mu.Lock()
+	now := g.now()
+	states := g.tree.Explain(now)
+	g.mu.Unlock()
+	out := make([]NodeView, 0, len(states))
+	for _, s := range states {
+		v := NodeView{Name: s.Name, Parent: s.Parent, Depth: s.Depth, Usage: s.Usage}
+		for _, l := range s.Limits {
+			v.Limits = append(v.Limits, LimitView{l.Dimension.String(), l.Rate, l.Ceiling, l.Window.String(), l.Left})
+		}
+		for _, o := range s.Owes {
+			v.Owes = append(v.Owes, OwedView{o.To, o.Dimension.String(), o.Amount})
+		}
+		if s.Refusal != (quota.Refusal{}) {
+			v.Refusal, v.RefusedAgo = s.Refusal.String(), (now - s.Refused).Seconds()
+		}
+		out = append(out, v)
+	}
+	return out
+}
--- a/internal/sidecar/plugins.go
+++ b/internal/sidecar/plugins.go
@@ -5,16 +5,16 @@
 	"log/slog"
 	"sync"
 
-	"mothridge/internal/core"
 	"mothridge/internal/hook"
 	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
 	"mothridge/internal/plugin"
+	"mothridge/internal/quotas"
 )
 
 // plugins puts the operators' plug-ins between the fronts and the core; nil
 // where there is none.
-func (c *Config) plugins(ctx context.Context, k *core.Core, figures *metrics.Metrics, loops *sync.WaitGroup) (*plugin.Gate, error) {
+func (c *Config) plugins(ctx context.Context, k plugin.Core, figures *metrics.Metrics, loops *sync.WaitGroup) (*plugin.Gate, error) {
 	if len(c.Operator.Plugins) == 0 {
 		return nil, nil
 	}
@@ -67,17 +67,24 @@
 	return out
 }
 
-// reloadPlugins reads the operators' file again and takes its plug-ins, all of
-// them or none.
-func (c *Config) reloadPlugins(g *plugin.Gate) {
-	if g == nil || c.Operator.Path() == "" {
+// reloadGates reads the operators' file again and takes its plug-ins, all of
+// them or none, and its quotas.
+func (c *Config) reloadGates(g *plugin.Gate, q *quotas.Gate) {
+	if g == nil && q == nil || c.Operator.Path() == "" {
 		return
 	}
 	f, err := operator.Load(c.Operator.Path())
-	if err == nil {
-		err = g.Load(specs(f))
-	}
 	if err != nil {
+		slog.Error("the operators' file: plug-ins and quotas stay as they were", "err", err)
+		return
+	}
+	if err := c.reloadQuotas(q, f); err != nil {
+		slog.Error("quotas: the old ones stay in force", "err", err)
+	}
+	if g == nil {
+		return
+	}
+	if err := g.Load(specs(f)); err != nil {
 		slog.Error("plug-ins: the old ones stay in force", "err", err)
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,11 +105,18 @@
 		end()
 		loops.Wait()
 	}()
-	gate, err := c.plugins(run, k, figures, &loops)
+	var taker httpfront.Core = k // what fronts give requests to: plug-ins, quotas and the core, where there are those
+	shares, err := c.quotas(k)
+	if err != nil {
+		return err
+	}
+	if shares != nil {
+		taker = shares
+	}
+	gate, err := c.plugins(run, taker, figures, &loops)
 	if err != nil {
 		return err
 	}
-	var taker httpfront.Core = k // what fronts give requests to
 	update := k.Update
 	if gate != nil {
 		taker, update = gate, func(n core.News) { k.Update(gate.Members(n)) }
@@ -121,7 +128,7 @@
 	if figures != nil {
 		c.showState(figures, k, m)
 	}
-	closeAdmin, err := c.administer(m, figures, &loops)
+	closeAdmin, err := c.administer(m, shares, figures, &loops)
 	if err != nil {
 		return err
 	}
@@ -147,13 +154,16 @@
 		case <-stop.Done():
 			return shutDown(fronts)
 		case <-reload:
+			c.reloadGates(gate, shares)
+			if c.Operator.Sidecar != nil && (gate != nil || shares != nil) {
+				continue // there is no platform's file, and what can be read again was
+			}
 			was := c.Discovery
 			if err := c.reload(); err != nil {
 				slog.Error("configuration: the old one stays in force", "err", err)
 			} else if c.Discovery != was && d != nil {
 				d.Move(c.Discovery)
 			}
-			c.reloadPlugins(gate)
 		}
 	}
 }
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -13,6 +13,7 @@
 	"mothridge/internal/core"
 	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
+	"mothridge/internal/quotas"
 	"mothridge/internal/registry/eureka"
 	"mothridge/internal/registry/merge"
 	"mothridge/internal/registry/platform"
@@ -78,7 +79,7 @@
 const membersPage = 250
 
 // administer opens the socket that the operators' commands ask at, if there is one.
-func (c *Config) administer(m *merge.Merger, figures *metrics.Metrics, loops *sync.WaitGroup) (end func(), err error) {
+func (c *Config) administer(m *merge.Merger, shares *quotas.Gate, figures *metrics.Metrics, loops *sync.WaitGroup) (end func(), err error) {
 	if c.Operator.Admin.Socket == "" {
 		return func() {}, nil
 	}
@@ -88,6 +89,9 @@
 			return m.View(ctx, q.Get("after"), membersPage) // a page at a time, as the list may be long
 		}
 	}
+	if shares != nil {
+		questions["quotas"] = func(context.Context, url.Values) (any, error) { return shares.View(), nil }
+	}
 	pages := make(map[string]http.Handler)
 	if figures != nil {
 		pages["metrics"] = figures
