Put quotas into the model of a fleet, in front of every sidecar's balancer

How a quota is best split over sidecars that share nothing can only be seen with many of them. The model's sidecars can have the quota module before the balancer; two measures say how far a tenant is served beyond or below its quota; the farm's scenarios have quotas too. A club at twice its share is held to it, and has more where the other lends.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -326,6 +326,25 @@
 	}
 }
 
+// Quotas in front of the balancers: the club that asks for too much is held to its
+// share, and to more where the other one lends.
+func TestQuotas(t *testing.T) {
+	s := calm(10, 0.5) // 500 a second
+	s.Sidecars, s.Tenants, s.Classes[0].Deadline = 2, []Tenant{{Share: 0.5, Quota: 300}, {Share: 0.5, Quota: 300}}, 2*time.Second
+	s.Troubles = []Trouble{{Kind: Burst, For: time.Hour, Tenant: 1, Times: 2}} // 250 and 500 a second
+	s.Quotas = Quotas{Part: 0.5, Reclaim: time.Second}
+	served := func() (a, b float64) {
+		r := must(t, s)
+		return float64(r.Tenants[0].Served) / 60, float64(r.Tenants[1].Served) / 60
+	}
+	a, b := served()
+	s.Quotas.Lends = true
+	c, d := served()
+	if a < 240 || b < 290 || b > 360 || c < 240 || d < b+30 || d > 400 {
+		t.Errorf("served a second: %.0f and %.0f of 250 and 500 that are asked for, at quotas of 300; %.0f and %.0f with loans", a, b, c, d)
+	}
+}
+
 // A list that is asked for: drains are heard of by the subscription, and after a
 // silence of it by another one.
 func TestAskedList(t *testing.T) {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -7,6 +7,7 @@
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"mothridge/policy"
+	"mothridge/quota"
 )
 
 // request is one try of a client.
@@ -20,6 +21,7 @@
 	attempts []*attempt
 	answered bool
 	deadline timer
+	receipt  *quota.Receipt // of what it took of its quota; nil: nothing
 
 	// Nearly every request has one attempt: it and its place come with it.
 	attempt attempt
@@ -222,6 +224,9 @@
 	}
 	c.requests[x.id] = x
 	x.deadline = c.put(left+slack, x, 0)
+	if !c.within(x) {
+		return
+	}
 	c.b.Request(c.time(), policy.Request{ID: x.id, Class: x.class, Tenant: x.tenant, Left: left, Repeat: x.try > 1})
 }
 
--- a/internal/fleet/result.go
+++ b/internal/fleet/result.go
@@ -20,6 +20,7 @@
 	Events                               uint64
 	Latency                              *hdrhistogram.Histogram // of requests served, from their first try on, µs
 	Classes, Tenants                     []Tally
+	Quotas                               []float64 // requests that each tenant's quota lets through in the time
 	Windows                              []Window
 	Width                                time.Duration // of a window
 	NodeServed                           []uint64
@@ -35,6 +36,7 @@
 type Tally struct {
 	First  uint64 // that came
 	Good   uint64 // served within the aim, from their first try on
+	Served uint64 // whenever
 	Within uint64 // tries served within their aim, from their own beginning on
 }
 
@@ -100,6 +102,9 @@
 	c := &r.result
 	c.Latency = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
 	c.Classes, c.Tenants = make([]Tally, len(r.s.Classes)), make([]Tally, max(1, len(r.s.Tenants)))
+	for _, t := range r.s.Tenants {
+		c.Quotas = append(c.Quotas, t.Quota*r.s.Duration.Seconds())
+	}
 	c.Width = max(time.Second, r.s.Duration/mostWindows)
 	c.Windows = make([]Window, int((r.s.Duration+c.Width-1)/c.Width))
 	o := &observer{run: r, latency: hdrhistogram.New(10, int64(time.Minute/time.Microsecond), 2), busy: make([]float64, r.s.Nodes)}
@@ -162,6 +167,7 @@
 		if o.now-x.began <= aim {
 			t.Within++
 		}
+		t.Served++
 		if took <= aim {
 			t.Good++
 		}
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -30,6 +30,7 @@
 	Attempts int           `toml:"attempts"`         // for one request, at most
 	Probes   bool          `toml:"probes,omitempty"` // nodes tell what they hold
 	Retries  Retries       `toml:"retries,omitempty"`
+	Quotas   Quotas        `toml:"quotas,omitempty"`
 	Clients  Clients       `toml:"clients"`
 	Daily    Wave          `toml:"daily,omitempty"`
 	Replay   []Arrival     `toml:"arrival,omitempty"` // in place of drawn arrivals, in order of time
@@ -107,6 +108,17 @@
 	Quota float64 `toml:"quota,omitempty"` // requests a second that its slots are made for; 0: not known
 }
 
+// Quotas puts the quota module before every sidecar's balancer: a root of all
+// tenants' quotas, and a node for each tenant of its own.
+type Quotas struct {
+	Part    float64         `toml:"part,omitempty"`    // of every quota, that each sidecar may use; 0: there are none
+	Windows []time.Duration `toml:"windows,omitempty"` // none: 1 s and 10 s
+	Reclaim time.Duration   `toml:"reclaim,omitempty"`
+	Repay   float64         `toml:"repay,omitempty"`
+	DebtAge time.Duration   `toml:"debt_age,omitempty"`
+	Lends   bool            `toml:"lends,omitempty"` // else each has its own share and no more
+}
+
 // Network is what lies between a sidecar and a node.
 type Network struct {
 	Delay time.Duration `toml:"delay,omitempty"` // mean, one way, exponential
@@ -279,6 +291,8 @@
 		return fmt.Errorf("clients: patience %v: two shares, the lesser first, are meant", c.Patience)
 	case c.Heeds < 0 || c.Heeds > 1 || s.Daily.Swing < 0 || s.Daily.Swing > 1:
 		return fmt.Errorf("clients: heeds %v, daily: swing %v: shares are meant", c.Heeds, s.Daily.Swing)
+	case s.Quotas.Part < 0 || s.Quotas.Part > 1 || s.Quotas.Part > 0 && (len(s.Tenants) == 0 || slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return !(t.Quota > 0) })):
+		return fmt.Errorf("quotas: a part of %v: 0 to 1, and tenants with a quota each, are meant", s.Quotas.Part)
 	case s.List.Asked && s.List.Membership:
 		return fmt.Errorf("list: asked and membership: one of the two is meant")
 	case s.Network.Delay < 0 || s.List.Lag < 0 || s.Network.Handshake < 0 || c.MaxPause < 0 || c.Pause < 0 || s.Skew < 0 || s.Slots < 0:
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -8,6 +8,7 @@
 
 	"mothridge/membership"
 	"mothridge/policy"
+	"mothridge/quota"
 )
 
 // sidecar is a balancer with the clients beside it. It is the balancer's Host.
@@ -23,6 +24,7 @@
 	links    []*link
 
 	told    bool            // of the list: it was pushed, or asked for and not lost since
+	quota   *quota.Tree     // nil: there are none
 	members *membership.Set // nil: news come straight from the list
 	ids     map[string]policy.ServerID
 	servers []server // by id, less one
@@ -56,6 +58,9 @@
 	if c.b, err = s.decider(cfg, s.Seed+uint64(c.number)+uint64(c.life)<<32, c); err != nil {
 		return err
 	}
+	if c.quota, err = s.quotas(); err != nil {
+		return err
+	}
 	if s.List.Membership {
 		if c.members, err = membership.New(membership.Config{}, membership.Source{Name: "registry"}); err != nil {
 			return fmt.Errorf("membership: %w", err)
@@ -182,6 +187,7 @@
 	if c.watched(x) {
 		c.note(x, "refused, with a pause of %v", pause)
 	}
+	c.spent(x, policy.TurnedAway)
 	c.result.Refused++
 	c.seen.at(c.now).Refused++
 	c.answer(x)
@@ -204,6 +210,7 @@
 	if c.watched(x) {
 		c.note(x, "failed")
 	}
+	c.spent(x, policy.Errored)
 	c.result.Failed++
 	c.seen.at(c.now).Failed++
 	c.answer(x)
--- a/internal/fleet/small.go
+++ b/internal/fleet/small.go
@@ -35,6 +35,13 @@
 	if one(0.5) {
 		s.Network.Handshake, s.Network.Trips, s.Network.Idle, s.Network.Most = 4*ms, 2, 5*time.Second, 20+rng.IntN(400)
 	}
+	if one(0.3) {
+		q := s.Load * s.Capacity() / s.work()
+		for i := range s.Tenants {
+			s.Tenants[i].Quota = s.Tenants[i].Share * q * (0.5 + rng.Float64())
+		}
+		s.Quotas = Quotas{Part: min(1, 2/float64(s.Sidecars)), Reclaim: time.Second, Repay: 0.1, DebtAge: time.Minute, Lends: one(0.5)}
+	}
 	if one(0.3) {
 		s.List.Membership = true
 	} else {
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -32,6 +32,8 @@
 	"broken",      // rules
 	"cut",         // 1 where the run was ended before its end
 	"good_in_end", // as good, in the last quarter of the windows
+	"over_quota",  // the most that a tenant was served, over its quota; 0 where none has one
+	"under_quota", // the least, over its quota or what it asked for, whichever is less; 1 where none has one
 }
 
 // MeasureNumber is a measure's place in a row.
@@ -63,10 +65,17 @@
 	for _, w := range r.Windows[len(r.Windows)*3/4:] {
 		end.First, end.Good = end.First+w.First, end.Good+w.Good
 	}
+	over, under := 0.0, 1.0
+	for i, t := range r.Tenants {
+		if i < len(r.Quotas) && r.Quotas[i] > 0 {
+			over = max(over, float64(t.Served)/r.Quotas[i])
+			under = min(under, float64(t.Served)/max(1, min(r.Quotas[i], float64(t.First))))
+		}
+	}
 	return []float64{
 		r.Share(), r.WorstWindow(), least(r.Tenants), least(r.Classes),
 		per(r.Served, r.Asked), per(r.Refused, r.Asked), per(r.Failed, r.Asked), per(r.Lost, r.Asked), at(50), at(99), at(99.9),
-		per(r.Attempts, r.First), per(r.Handshakes, r.First), mean, spread / max(mean, 1e-9), float64(r.Chokes), float64(len(r.Broken)), cut, end.Share(),
+		per(r.Attempts, r.First), per(r.Handshakes, r.First), mean, spread / max(mean, 1e-9), float64(r.Chokes), float64(len(r.Broken)), cut, end.Share(), over, under,
 	}
 }
 
