Say once what takes requests; find a quota's bucket in one place; show quotas in metrics

The four methods that fronts ask of a core stood in three packages, now that plug-ins and quotas stand between the two: core.Taker is the one. Three loops of the quota module that looked for the bucket of one window are one. Behaviour is unchanged but for the new metrics.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -52,6 +52,18 @@
 	timedOut bool // the last attempt did
 }
 
+// Taker takes requests from fronts: a Core, or what stands before it.
+type Taker interface {
+	// Submit takes a request on; its Reply is called once, also before Submit returns.
+	Submit(*Request)
+	// Abandon says that a request's client has gone.
+	Abandon(*Request)
+	// Holds says whether a request of that id is held.
+	Holds(id string) bool
+	// Ready says whether a list of servers is held.
+	Ready() bool
+}
+
 // Numbers turns names, by number, around.
 func Numbers(names []string) map[string]int {
 	m := make(map[string]int, len(names))
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -33,14 +33,6 @@
 	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
 
-// Core takes the requests.
-type Core interface {
-	Submit(*core.Request)
-	Abandon(*core.Request)
-	Holds(id string) bool
-	Ready() bool
-}
-
 // Config is what a Front keeps to.
 type Config struct {
 	Classes     []string // names by number
@@ -51,7 +43,7 @@
 
 // Front is the HTTP/1.1 side towards the application.
 type Front struct {
-	core     Core
+	core     core.Taker
 	effects  []policy.Effect
 	classes  map[string]int
 	tenants  map[string]int
@@ -75,7 +67,7 @@
 }
 
 // New makes a Front on a listener; Serve starts it.
-func New(c Config, k Core, ln net.Listener) *Front {
+func New(c Config, k core.Taker, ln net.Listener) *Front {
 	s := &Front{
 		core: k, effects: c.Effects, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants),
 		listener: limitListener(ln, c.Connections),
--- a/internal/plugin/gate.go
+++ b/internal/plugin/gate.go
@@ -14,14 +14,6 @@
 	"mothridge/internal/hook"
 )
 
-// Core is what requests go on to.
-type Core interface {
-	Submit(*core.Request)
-	Abandon(*core.Request)
-	Holds(id string) bool
-	Ready() bool
-}
-
 // Config is what a Gate is made of.
 type Config struct {
 	Classes []string // names by number
@@ -35,14 +27,14 @@
 const outcomesHeld = 1024
 
 // Gate stands between the fronts and the core: it runs the request hooks on the
-// front's goroutine, and those of outcomes on one of its own. It is a Core for
+// front's goroutine, and those of outcomes on one of its own. It is a Taker for
 // the fronts.
 type Gate struct {
-	Core
-	cfg     Config
-	tenants map[string]int
-	set     atomic.Pointer[set]
-	spaces  sync.Pool
+	core.Taker // what requests go on to
+	cfg        Config
+	tenants    map[string]int
+	set        atomic.Pointer[set]
+	spaces     sync.Pool
 
 	outcomes chan outcome
 	dropped  atomic.Uint64
@@ -113,7 +105,7 @@
 }
 
 // Behind sets what requests go on to. It comes before the first of them.
-func (g *Gate) Behind(c Core) { g.Core = c }
+func (g *Gate) Behind(t core.Taker) { g.Taker = t }
 
 // Plugins are those that are loaded, with their counts, for who shows them.
 func (g *Gate) Plugins(each func(name, state string, c Counts, named map[string]uint64)) {
@@ -143,7 +135,7 @@
 			return
 		}
 	}
-	g.Core.Submit(r)
+	g.Taker.Submit(r)
 }
 
 // follow has the outcome hooks hear of a request's final answer.
--- a/internal/quotas/quotas.go
+++ b/internal/quotas/quotas.go
@@ -14,14 +14,6 @@
 	"mothridge/quota"
 )
 
-// Core is what requests go on to.
-type Core interface {
-	Submit(*core.Request)
-	Abandon(*core.Request)
-	Holds(id string) bool
-	Ready() bool
-}
-
 // Match says which requests belong to a node of the tree, among those that
 // belong to its parent. All that is set must fit; one of which nothing is set
 // gets no request of its own.
@@ -42,10 +34,10 @@
 	Most    time.Duration // the longest pause that clients heed; 0: any
 }
 
-// Gate is a Core for the fronts. It is safe for concurrent use.
+// Gate is a Taker for the fronts. It is safe for concurrent use.
 type Gate struct {
-	Core
-	begin time.Time
+	core.Taker // what requests go on to
+	begin      time.Time
 
 	mu       sync.Mutex
 	cfg      Config
@@ -99,7 +91,7 @@
 }
 
 // Behind sets what requests go on to. It comes before the first of them.
-func (g *Gate) Behind(c Core) { g.Core = c }
+func (g *Gate) Behind(t core.Taker) { g.Taker = t }
 
 func (g *Gate) now() time.Duration { return time.Since(g.begin) }
 
@@ -169,12 +161,12 @@
 		reply(a)
 	}
 	r.Left = func() { end(true) } // there will be no answer
-	g.Core.Submit(r)
+	g.Taker.Submit(r)
 }
 
 // Abandon gives back what a request held at once whose client has left.
 func (g *Gate) Abandon(r *core.Request) {
-	g.Core.Abandon(r)
+	g.Taker.Abandon(r)
 	if r.Left != nil {
 		r.Left()
 	}
--- a/internal/sidecar/plugins.go
+++ b/internal/sidecar/plugins.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 
+	"mothridge/internal/core"
 	"mothridge/internal/hook"
 	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
@@ -14,7 +15,7 @@
 
 // plugins puts the operators' plug-ins between the fronts and the core; nil
 // where there is none.
-func (c *Config) plugins(ctx context.Context, k plugin.Core, figures *metrics.Metrics, loops *sync.WaitGroup) (*plugin.Gate, error) {
+func (c *Config) plugins(ctx context.Context, k core.Taker, figures *metrics.Metrics, loops *sync.WaitGroup) (*plugin.Gate, error) {
 	if len(c.Operator.Plugins) == 0 {
 		return nil, nil
 	}
--- a/internal/sidecar/quotas.go
+++ b/internal/sidecar/quotas.go
@@ -6,6 +6,8 @@
 	"net/textproto"
 	"time"
 
+	"mothridge/internal/core"
+	"mothridge/internal/metrics"
 	"mothridge/internal/operator"
 	"mothridge/internal/quotas"
 	"mothridge/quota"
@@ -22,7 +24,7 @@
 )
 
 // quotas puts the operators' quotas before the core; nil where there is none.
-func (c *Config) quotas(behind quotas.Core) (*quotas.Gate, error) {
+func (c *Config) quotas(behind core.Taker, figures *metrics.Metrics) (*quotas.Gate, error) {
 	if len(c.Operator.Quotas) == 0 {
 		return nil, nil
 	}
@@ -31,6 +33,16 @@
 		return nil, err
 	}
 	g.Behind(behind)
+	if figures != nil {
+		figures.Add(func(s *metrics.Show) {
+			for _, n := range g.View() {
+				s.Counters("quota_total", "What became of requests by the quota they count in, by event.", "event", n.Usage, "quota", n.Name)
+				for _, l := range n.Limits {
+					s.Gauge("quota_left", "What is left of a limit.", l.Left, "quota", n.Name, "dimension", l.Dimension, "window", l.Window)
+				}
+			}
+		})
+	}
 	return g, nil
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -105,8 +105,8 @@
 		end()
 		loops.Wait()
 	}()
-	var taker httpfront.Core = k // what fronts give requests to: plug-ins, quotas and the core, where there are those
-	shares, err := c.quotas(k)
+	var taker core.Taker = k // what fronts give requests to: plug-ins, quotas and the core, where there are those
+	shares, err := c.quotas(k, figures)
 	if err != nil {
 		return err
 	}
@@ -169,7 +169,7 @@
 }
 
 // fronts makes the front of each listener; they share the clients' connections evenly.
-func (c *Config) fronts(k httpfront.Core, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
+func (c *Config) fronts(k core.Taker, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
 	each, effects := connections/len(lns), c.effects()
 	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each}
 	fronts := make([]front, len(lns))
--- a/quota/decide.go
+++ b/quota/decide.go
@@ -98,6 +98,17 @@
 	return false
 }
 
+// like finds a node's bucket of the same dimension and window as another; nil:
+// it has none.
+func (n *node) like(b *bucket) *bucket {
+	for i := range n.buckets[b.Dimension] {
+		if x := &n.buckets[b.Dimension][i]; x.Window == b.Window {
+			return x
+		}
+	}
+	return nil
+}
+
 // lender finds, among the siblings of up and what is below them, the bucket of
 // the same kind that can spare the most.
 func (t *Tree) lender(now time.Duration, up, n *node, b *bucket, cost float64) (best *node, of *bucket) {
@@ -106,15 +117,13 @@
 		if s == up {
 			continue
 		}
-		for i := range s.buckets[b.Dimension] {
-			x := &s.buckets[b.Dimension][i]
-			if x.Window != b.Window {
-				continue
-			}
-			x.refill(now, t.cfg.Repay)
-			if spare := x.spare(t.cfg.Reclaim); spare >= cost && spare/s.Weight > most {
-				most, best, of = spare/s.Weight, s, x
-			}
+		x := s.like(b)
+		if x == nil {
+			continue
+		}
+		x.refill(now, t.cfg.Repay)
+		if spare := x.spare(t.cfg.Reclaim); spare >= cost && spare/s.Weight > most {
+			most, best, of = spare/s.Weight, s, x
 		}
 	}
 	return best, of
@@ -175,24 +184,22 @@
 		if x.amount < cost {
 			continue
 		}
-		for i := range s.buckets[b.Dimension] {
-			of := &s.buckets[b.Dimension][i]
-			if of.Window != b.Window {
-				continue
-			}
-			of.refill(now, t.cfg.Repay)
-			// It pays out of what it holds and, below nothing, out of what it gains
-			// next, but no more than Repay of that.
-			if of.repay < cost {
-				continue
-			}
-			of.tokens -= cost
-			of.repay -= cost
-			x.amount -= cost
-			r.draws = append(r.draws, draw{of: s, bucket: of, amount: cost, way: repayment, by: n})
-			n.usage.Repaid++
-			return true
+		of := s.like(b)
+		if of == nil {
+			continue
 		}
+		of.refill(now, t.cfg.Repay)
+		// It pays out of what it holds and, below nothing, out of what it gains next,
+		// but no more than Repay of that.
+		if of.repay < cost {
+			continue
+		}
+		of.tokens -= cost
+		of.repay -= cost
+		x.amount -= cost
+		r.draws = append(r.draws, draw{of: s, bucket: of, amount: cost, way: repayment, by: n})
+		n.usage.Repaid++
+		return true
 	}
 	return false
 }
@@ -308,12 +315,10 @@
 		for d := range dimensions {
 			for i := range n.buckets[d] {
 				b := &n.buckets[d][i]
-				for j := range was.buckets[d] {
-					if x := &was.buckets[d][j]; x.Window == b.Window {
-						x.refill(now, t.cfg.Repay)
-						// By its part of what it can hold: a limit that grew is not full at once.
-						b.tokens, b.asOf = b.most*x.tokens/x.most, now
-					}
+				if x := was.like(b); x != nil {
+					x.refill(now, t.cfg.Repay)
+					// By its part of what it can hold: a limit that grew is not full at once.
+					b.tokens, b.asOf = b.most*x.tokens/x.most, now
 				}
 			}
 		}
