Bound the keys, entries and number of a plug-in's states

A map of 100,000 entries with keys of any length could hold gigabytes, in a sidecar of 32 MB. Keys have 128 bytes, maps 10,000 entries, programs 16 states: some 3 MB a map at the worst.

--- a/internal/hook/check.go
+++ b/internal/hook/check.go
@@ -88,10 +88,12 @@
 	Age  time.Duration // of an entry that nothing was added to
 }
 
-// Bounds of a state.
+// Bounds of a program's state. Together they keep a map to some 3 MB.
 const (
-	MostEntries = 100_000
+	MostStates  = 16
+	MostEntries = 10_000
 	MostAge     = 30 * 24 * time.Hour
+	MaxKey      = 128 // bytes
 )
 
 // checked is a program that is right.
@@ -191,6 +193,9 @@
 				c.fail(d.Pos, "a map of %s entries for %s: 1 to %d entries, and an age of up to 30d, are meant", *d.State.Most, *d.State.Age, MostEntries)
 			}
 		}
+		if len(c.out.states) == MostStates {
+			c.fail(d.Pos, "more than %d states", MostStates)
+		}
 		c.states[s.Name] = len(c.out.states)
 		c.out.states = append(c.out.states, s)
 	case d.Func != nil:
--- a/internal/hook/hook_test.go
+++ b/internal/hook/hook_test.go
@@ -114,13 +114,18 @@
 		{`on request { let x = [1, "a"] }`, `a list's entry is text; int is meant`}, {`on request { 1 + 2 }`, ``}, {`on request { event.class }`, `this does nothing`},
 		{`on request { let x = tag("a") }`, `this has no value`}, {`on request { let x: text = 1 }`, `the value is int; text is meant`}, {`fn f(a: str) { } on request { }`, `there is no type "str"`},
 		{`on request { let x = year(now(), "Mars/Base") }`, `there is no time zone "Mars/Base"`}, {`on request { let x = year(now(), event.class) }`, `known beforehand`},
-		{`state s: map 0 1h on request { }`, `1 to 100000 entries`}, {`state s: counter on request { tag(s) }`, `"s" is a state`}, {`on request { add(q, 1) }`, `add takes a state first`},
+		{`state s: map 0 1h on request { }`, `1 to 10000 entries`}, {`state s: counter on request { tag(s) }`, `"s" is a state`}, {`on request { add(q, 1) }`, `add takes a state first`},
 		{`state s: counter on request { forget(s, "x") }`, `is a counter`}, {`state s: counter on request { add(s, "x", 1) }`, `takes 1 more`},
 		{`on request { let x = 99999999999999999999 }`, `this cannot be held`}, {`on request { return tag("x") tag("y") }`, ``}, {"on request {\n\treturn\n}\non request", `test.hook:4:11`},
 		{`on request { while true { break tag("x") } }`, `this is never reached`}, {`on request { let x = true < false }`, `bool < bool`}, {`on request { let x = -"a" }`, `-text has no meaning`},
 		{`on request { for x in 5 { } }`, `a list, or FROM..TO, is meant`}, {`on request { tag("a` + "\n" + `") }`, `test.hook:1`}, {`on request { ` + strings.Repeat("(", 100), `nested more than 64 deep`},
 		{`on request { let x = ` + strings.Repeat("not ", 100) + `true }`, `nested more than 64 deep`}, {strings.Repeat("#", MaxSource+1), `a program has 65536 at the most`},
-		{`const a = now() on request { }`, `a constant is a plain value`}, {`on request { tag(tag) }`, ``}, {`on request { let l = [tag("x")] }`, `this has no value`},
+		{"state s0: counter " + func() (s string) {
+			for i := range MostStates {
+				s += fmt.Sprintf("state t%d: counter ", i)
+			}
+			return s
+		}() + `on request { }`, `more than 16 states`}, {`const a = now() on request { }`, `a constant is a plain value`}, {`on request { tag(tag) }`, ``}, {`on request { let l = [tag("x")] }`, `this has no value`},
 	} {
 		_, err := Compile("test.hook", x.source)
 		if err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "%!") {
@@ -158,6 +163,7 @@
 		{"a key that is not there", `on request { let m = map[int]()  tag(text(m["x"])) }`, generous, ErrValue},
 		{"a slice outside", `on request { tag(slice("abc", 2, 1)) }`, generous, ErrValue},
 		{"a date that is none", `on request { tag(text(date(2026, 13, 1, "UTC"))) }`, generous, ErrValue},
+		{"a key too long", `state m: map 10 1h on request { var s = "xxxxxxxxxxxxxxxxx"  for i in 0..3 { s = s + s } add(m, s, 1) }`, generous, ErrValue},
 		{"a split by nothing", `on request { let l = split("abc", "") }`, generous, ErrValue},
 	} {
 		first, err := run(t, x.source, x.limits)
--- a/internal/hook/machine.go
+++ b/internal/hook/machine.go
@@ -520,6 +520,9 @@
 	} else if i.op == opAddAt {
 		key, n = m.stack[top-1].s, 2
 	}
+	if len(key) > MaxKey {
+		return wrong("a key of %d bytes: %d at the most", len(key), MaxKey)
+	}
 	if !m.spend(stateCost + len(key)) {
 		return ErrFuel
 	}
