--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -127,6 +127,26 @@
 	}
 }
 
+// An answer that is on its way when its node falls does not come: the request may
+// have run, and its client hears that nothing is known.
+func TestAnswerOfAFallenNode(t *testing.T) {
+	s := calm(1, 0.5)
+	s.Classes[0].Effect, s.Network.Delay = Effect(policy.Unsafe), 50*ms
+	r, err := prepare(&s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.sidecars[0].begin(new(client), 10*ms)
+	for r.nodes[0].served == 0 && r.step(time.Minute) {
+	}
+	r.nodes[0].restart(true)
+	for r.open > 0 && r.step(time.Minute) {
+	}
+	if r.result.Served != 0 || r.result.Failed != 1 {
+		t.Errorf("%d served and %d failed of one whose node fell", r.result.Served, r.result.Failed)
+	}
+}
+
 // careless takes a broken connection for proof that nothing ran.
 type careless struct{ decider }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -159,9 +159,10 @@
 		t.Fatal(err)
 	}
 	dir := t.TempDir()
+	notices := 0
 	play := func(name string, workers int) []byte {
 		out := filepath.Join(dir, name)
-		if _, err := Run(context.Background(), e, RunOptions{Out: out, Workers: workers}); err != nil {
+		if _, err := Run(context.Background(), e, RunOptions{Out: out, Workers: workers, Notice: func(string) { notices++ }}); err != nil {
 			t.Fatal(err)
 		}
 		b, err := os.ReadFile(out)
@@ -186,6 +187,10 @@
 		if got := play(name, 3); !bytes.Equal(got, whole) {
 			t.Errorf("cut after %d bytes, it goes on to\n%s\nwant\n%s", cut, got, whole)
 		}
+		if want := cut > 0 && whole[cut-1] != '\n'; (notices == 1) != want {
+			t.Errorf("cut after %d bytes: %d notices", cut, notices)
+		}
+		notices = 0
 	}
 	changed := bytes.Clone(whole)
 	changed[len(changed)/2] ^= 1
--- a/internal/lab/measure.go
+++ b/internal/lab/measure.go
@@ -93,11 +93,8 @@
 		return Interval{Half: math.Inf(1)}
 	}
 	mean, sd := stat.MeanStdDev(values, nil)
-	switch {
-	case n < 2:
+	if n < 2 {
 		return Interval{mean, math.Inf(1), n}
-	case sd == 0 || math.IsNaN(sd):
-		return Interval{mean, 0, n}
 	}
 	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(0.5 + confidence/2)
 	return Interval{mean, t * sd / math.Sqrt(float64(n)), n}
