Give a scenario's node one place that says what it can do; drop an unused instruction

Read once more: a node's speed by its number was worked out in five places of the model, the two worlds and the command, and the hook machine carried an instruction that nothing emits. Scenario.NodeAt and Weight are the one place now, and a node's number below 0 is an error instead of a panic.

--- a/cmd/mothlab/sockets.go
+++ b/cmd/mothlab/sockets.go
@@ -103,10 +103,10 @@
 	if err := load.Loopback(c.Address); err != nil {
 		return err
 	}
-	p := s.Node
-	if len(s.Speeds) > 0 {
-		p.Speed *= s.Speeds[c.Number%len(s.Speeds)]
+	if c.Number < 0 {
+		return fmt.Errorf("--number %d: 0 or more is meant", c.Number)
 	}
+	p := s.NodeAt(c.Number)
 	n := load.NewNode(p, s.Classes[0].Work)
 	defer n.Close()
 	peer, err := peers.StartNodeAt(c.Address, protocol(c.Protocol), c.Address, nil, n.Script)
--- a/internal/fleet/listing.go
+++ b/internal/fleet/listing.go
@@ -58,7 +58,7 @@
 // entry is a line of the list for the balancer, where the list comes straight to it.
 func (c *sidecar) entry(n *node, state policy.State) policy.Server {
 	return policy.Server{
-		ID: c.heard(policy.ServerID(n.number+1), state), Cell: c.cell(n), Weight: c.s.speed(n.number), State: state, Started: c.began(n),
+		ID: c.heard(policy.ServerID(n.number+1), state), Cell: c.cell(n), Weight: c.s.Weight(n.number), State: state, Started: c.began(n),
 	}
 }
 
@@ -97,7 +97,7 @@
 // instance is a node as a registry lists it.
 func (c *sidecar) instance(n *node, state policy.State) membership.Instance {
 	i := membership.Instance{
-		ID: fmt.Sprint("node-", n.number), Name: fmt.Sprint("node-", n.number), Addr: fmt.Sprint(n.number), Cell: fmt.Sprint(c.cell(n)), Weight: c.s.speed(n.number),
+		ID: fmt.Sprint("node-", n.number), Name: fmt.Sprint("node-", n.number), Addr: fmt.Sprint(n.number), Cell: fmt.Sprint(c.cell(n)), Weight: c.s.Weight(n.number),
 		Started: c.began(n), Updated: int64(c.now),
 	}
 	if state == policy.Draining {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -103,11 +103,7 @@
 	}
 	r.seen = newObserver(r)
 	for i := range s.Nodes {
-		p := s.Node
-		if len(s.Speeds) > 0 {
-			p.Speed *= s.Speeds[i%len(s.Speeds)]
-		}
-		r.nodes = append(r.nodes, &node{engine: &r.engine, p: p, number: i})
+		r.nodes = append(r.nodes, &node{engine: &r.engine, p: s.NodeAt(i), number: i})
 	}
 	for i := range s.Sidecars {
 		c := &sidecar{run: r, number: i, clock: stream(s.Seed, "arrivals", i)}
--- a/internal/fleet/scenario.go
+++ b/internal/fleet/scenario.go
@@ -228,20 +228,23 @@
 	return sum / shares
 }
 
-// speed is a node's, in cores of speed 1.
-func (s *Scenario) speed(i int) float64 {
-	v := s.Node.Speed * float64(s.Node.Cores)
+// NodeAt is what a node can do, by its number.
+func (s *Scenario) NodeAt(i int) NodeParams {
+	p := s.Node
 	if len(s.Speeds) > 0 {
-		v *= s.Speeds[i%len(s.Speeds)]
+		p.Speed *= s.Speeds[i%len(s.Speeds)]
 	}
-	return v
+	return p
 }
 
+// Weight is the work that a node can do in a second, in seconds of a core of speed 1.
+func (s *Scenario) Weight(i int) float64 { return s.NodeAt(i).Speed * float64(s.Node.Cores) }
+
 // Capacity is the work that all nodes can do in a second, in seconds of a core of speed 1.
 func (s *Scenario) Capacity() float64 {
 	sum := 0.0
 	for i := range s.Nodes {
-		sum += s.speed(i)
+		sum += s.Weight(i)
 	}
 	return sum
 }
--- a/internal/hook/compile.go
+++ b/internal/hook/compile.go
@@ -23,7 +23,6 @@
 	opPop
 	opJump          // to a
 	opJumpIfFalse   // pop; to a
-	opJumpIfTrue    // pop; to a
 	opJumpKeepFalse // to a if the top is false, else pop
 	opJumpKeepTrue
 	opNot
--- a/internal/hook/machine.go
+++ b/internal/hook/machine.go
@@ -282,8 +282,8 @@
 			m.stack = m.stack[:top]
 		case opJump:
 			f.next = int(i.a)
-		case opJumpIfFalse, opJumpIfTrue:
-			if (m.stack[top].n == 0) == (i.op == opJumpIfFalse) {
+		case opJumpIfFalse:
+			if m.stack[top].n == 0 {
 				f.next = int(i.a)
 			}
 			m.stack = m.stack[:top]
--- a/internal/load/world.go
+++ b/internal/load/world.go
@@ -89,11 +89,7 @@
 func (w *world) start(protocol peers.Protocol) error {
 	s := w.s
 	for i := range s.Nodes {
-		p := s.Node
-		if len(s.Speeds) > 0 {
-			p.Speed *= s.Speeds[i%len(s.Speeds)]
-		}
-		w.nodes = append(w.nodes, NewNode(p, s.Classes[0].Work))
+		w.nodes = append(w.nodes, NewNode(s.NodeAt(i), s.Classes[0].Work))
 	}
 	o := rig.Options{Front: protocol, Nodes: protocol, Number: s.Nodes, Slots: s.Slots, Settings: w.settings(), Sockets: 4096}
 	for i := range s.Sidecars {
@@ -126,11 +122,8 @@
 
 // list tells the discovery of a node.
 func (w *world) list(i int, health string, started int64) {
-	n, v := w.rigs[0].Nodes[i], w.s.Node.Speed*float64(w.s.Node.Cores)
-	if len(w.s.Speeds) > 0 {
-		v *= w.s.Speeds[i%len(w.s.Speeds)]
-	}
-	w.rigs[0].Discovery.Set(peers.Host{Host: n.Name, Dial: n.Addr(), Site: "a", Class: "m", Block: i, Health: health, Share: v, BornMS: started})
+	n := w.rigs[0].Nodes[i]
+	w.rigs[0].Discovery.Set(peers.Host{Host: n.Name, Dial: n.Addr(), Site: "a", Class: "m", Block: i, Health: health, Share: w.s.Weight(i), BornMS: started})
 }
 
 // settings are the platform's, as the scenario has them.
