Read discovery's messages in any form, and hear a silent agent's return in time

Need: messages of a watch may be indented and come in pieces; a change counts as told once the agent has it, also the first it gets at its return.

Seen, on the reader as landed, with the tests of this change: an indented message ended the watch (gap in the list), asked for the whole list and opened another watch, for each message. Blank lines behind a half message kept its watch open. A call to an agent that had fallen silent was waited for 3 s, and the next one came up to 1 s later: the test saw the change 3.2 s after the return, where a drain has to be kept after 2 s. Ruled out: the whole list that is asked for was always read in one piece.

Change: the watch is a stream of JSON values, whatever stands between them. Any byte is a sign of life; where a message has begun, only its next bytes are. Where lists are pushed a call's answer has to begin within 1 s, and the pause between calls is 0.25 s at most: heard 1.3 s after the return at the latest. Where the list is asked for, a call may wait as before.

--- a/internal/peers/peertest/peertest.go
+++ b/internal/peers/peertest/peertest.go
@@ -129,6 +129,7 @@
 type Watch struct {
 	From  string
 	Lines chan string
+	Bytes chan string // the same without the line break
 	Ended chan struct{}
 }
 
@@ -151,7 +152,7 @@
 			}
 			return
 		}
-		x := &Watch{From: r.URL.Query().Get("from"), Lines: make(chan string), Ended: make(chan struct{})}
+		x := &Watch{From: r.URL.Query().Get("from"), Lines: make(chan string), Bytes: make(chan string), Ended: make(chan struct{})}
 		defer close(x.Ended)
 		w.WriteHeader(http.StatusOK)
 		w.(http.Flusher).Flush()
@@ -164,6 +165,9 @@
 				}
 				io.WriteString(w, line+"\n")
 				w.(http.Flusher).Flush()
+			case text := <-x.Bytes:
+				io.WriteString(w, text)
+				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
 				return
 			}
--- a/internal/registry/platform/platform.go
+++ b/internal/registry/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -75,9 +74,15 @@
 	listPath = "/registry/instances"
 	// silence ends a watch: an empty line comes every 2 s while nothing changes.
 	silence = 3 * time.Second
+	// pushedIn is how long a call may take to begin its answer where lists are
+	// pushed: the agent is on this machine and answers at once, or is silent while
+	// discovery is down. What it gets at the return counts as told at that moment, and
+	// a drain among it is to be kept 2 s later: a call that began before the return
+	// may not be waited for longer than that leaves.
+	pushedIn = time.Second
 	// What is out of reach is tried again soon, but not at once.
 	firstReopen = 100 * time.Millisecond
-	lastReopen  = time.Second
+	lastReopen  = 250 * time.Millisecond
 	maxListing  = 4 << 20
 )
 
@@ -99,6 +104,7 @@
 
 	asks   <-chan struct{} // the module's calls, where it has to ask for the list; else nil
 	failed func()          // tells it that its call failed or the watch has ended
+	callIn time.Duration   // a call whose answer has not begun by then is given up
 }
 
 // New follows the discovery at an address, on from the list as last held, if
@@ -108,11 +114,11 @@
 		base:    listURL(addr),
 		deliver: deliver,
 		moves:   make(chan string, 1),
+		callIn:  pushedIn,
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
-			ResponseHeaderTimeout: silence,
-			MaxConnsPerHost:       Sockets,
-			DisableCompression:    true,
+			DialContext:        (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
+			MaxConnsPerHost:    Sockets,
+			DisableCompression: true,
 		}},
 	}
 	if known != nil {
@@ -128,7 +134,10 @@
 
 // Ask makes Follow wait for a call of asks before each watch, for installations
 // where asking has a cost; failed is told when a call failed or the watch has ended.
-func (d *Discovery) Ask(asks <-chan struct{}, failed func()) { d.asks, d.failed = asks, failed }
+// Calls work through in turn there, and so may wait for as long as a watch may be silent.
+func (d *Discovery) Ask(asks <-chan struct{}, failed func()) {
+	d.asks, d.failed, d.callIn = asks, failed, silence
+}
 
 // Move makes Follow go on at another address, at once. It must not be called concurrently.
 func (d *Discovery) Move(addr string) {
@@ -222,58 +231,113 @@
 func (d *Discovery) watch(ctx context.Context) (heard bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
-	defer timer.Stop()
+	s := &stream{}
+	s.timer = time.AfterFunc(d.callIn, func() { cancel(errors.New("silent")) })
+	defer s.timer.Stop()
 	defer func() {
 		if err != nil && context.Cause(ctx) != nil {
 			err = context.Cause(ctx)
 		}
 	}()
 	if !d.held {
-		if err := d.fetch(ctx); err != nil {
+		if err := d.fetch(ctx, s); err != nil {
 			return false, err
 		}
 		heard = true
 	}
+	s.timer.Reset(d.callIn)
 	body, err := d.open(ctx, d.base+"?watch=1&from="+strconv.FormatUint(d.seq, 10))
 	if err != nil {
 		return heard, err
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4<<10), maxListing)
-	for lines.Scan() {
-		timer.Reset(silence)
-		line := bytes.TrimSpace(lines.Bytes())
-		switch {
-		case len(line) > 0:
-			if err := d.take(line); err != nil {
-				d.held = false
-				return heard, err
-			}
-		case !heard:
+	s.follow(body)
+	s.blank = func() {
+		if !heard {
 			d.deliver(core.News{Version: d.seq}) // the watch is up and nothing has changed: the module's call went well
 		}
 		heard = true
 	}
-	if err := lines.Err(); err != nil {
-		return heard, err
+	for messages := json.NewDecoder(s); ; {
+		var l Listing
+		if err := messages.Decode(&l); errors.Is(err, io.EOF) {
+			return heard, io.EOF
+		} else if err != nil {
+			if s.err == nil { // it came, and could not be read
+				d.held, err = false, fmt.Errorf("%w: %w", errGap, err)
+			}
+			return heard, err
+		}
+		heard = true
+		s.whole(messages)
+		if err := d.take(l); err != nil {
+			d.held = false
+			return heard, err
+		}
 	}
-	return heard, io.EOF
+}
+
+// stream reads an answer of discovery and keeps the one clock for its silence.
+// Messages are JSON values that may be indented and come in pieces; what stands
+// between two of them is blank. Any byte is a sign of life, but where a message
+// has begun only its next bytes are: blank lines go on coming behind one whose
+// rest was lost.
+type stream struct {
+	timer *time.Timer // of the silence
+	r     io.Reader
+	blank func() // where a read brought white space alone, outside of a message
+	read  int64  // bytes so far
+	ended int64  // where the last whole message did
+	begun bool   // something of a further one has come
+	err   error  // of the answer itself
+}
+
+// follow starts to read an answer, which has begun.
+func (s *stream) follow(body io.Reader) {
+	*s = stream{timer: s.timer, r: body, blank: func() {}}
+	s.timer.Reset(silence)
+}
+
+// whole notes that a message has been read to its end.
+func (s *stream) whole(messages *json.Decoder) {
+	rest, _ := io.ReadAll(messages.Buffered())
+	s.ended, s.begun = messages.InputOffset(), len(bytes.TrimSpace(rest)) > 0
+}
+
+func (s *stream) Read(b []byte) (int, error) {
+	n, err := s.r.Read(b)
+	s.read += int64(n)
+	switch text := len(bytes.TrimSpace(b[:n])) > 0; {
+	case n == 0:
+	case text:
+		s.begun = true
+		s.timer.Reset(silence)
+	case !s.begun:
+		s.timer.Reset(silence)
+		s.blank()
+	}
+	if err == nil && s.read-s.ended > maxListing {
+		err = fmt.Errorf("a message of over %d bytes", maxListing)
+	}
+	if err != nil && s.err == nil {
+		s.err = err
+	}
+	return n, err
 }
 
 // fetch asks for the whole list.
-func (d *Discovery) fetch(ctx context.Context) error {
+func (d *Discovery) fetch(ctx context.Context, s *stream) error {
 	body, err := d.open(ctx, d.base)
 	if err != nil {
 		return err
 	}
 	defer body.Close()
-	text, err := io.ReadAll(io.LimitReader(body, maxListing))
-	if err != nil {
-		return err
+	s.follow(body)
+	var l Listing
+	if err := json.NewDecoder(s).Decode(&l); err != nil {
+		return fmt.Errorf("%w: %w", errGap, err)
 	}
-	return d.take(text)
+	return d.take(l)
 }
 
 func (d *Discovery) open(ctx context.Context, url string) (io.ReadCloser, error) {
@@ -294,11 +358,7 @@
 
 // take passes on one piece of news. Changes apply in order and only on top of
 // the list they follow; what was had already is passed over.
-func (d *Discovery) take(text []byte) error {
-	var l Listing
-	if err := json.Unmarshal(text, &l); err != nil {
-		return fmt.Errorf("%w: %w", errGap, err)
-	}
+func (d *Discovery) take(l Listing) error {
 	switch {
 	case l.Whole:
 	case !d.held || l.Seq < d.seq:
--- a/internal/registry/platform/platform_test.go
+++ b/internal/registry/platform/platform_test.go
@@ -1,6 +1,10 @@
 package platform
 
 import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -153,3 +157,136 @@
 	asks <- struct{}{}
 	peertest.Await(t, "the second watch", g.Watches)
 }
+
+// Whatever form a message has on the wire, a drain in it is told once its last
+// byte has come, on the watch that is open.
+func TestMessagesInAllForms(t *testing.T) {
+	up, drain := peertest.HostText("s-1", "127.0.0.1:7", "up", 0), peertest.HostText("s-1", "127.0.0.1:7", "draining", 0)
+	other := peertest.HostText("s-2", "127.0.0.1:8", "up", 0)
+	indented := func(text string) string {
+		var b bytes.Buffer
+		if err := json.Indent(&b, []byte(text), "", "\t"); err != nil {
+			t.Fatal(err)
+		}
+		return b.String()
+	}
+	change := peertest.ListText(43, false, drain)
+	at := strings.Index(change, ",\"health\"") // between two fields
+	for name, pieces := range map[string][]string{
+		"a line":                    {change + "\n"},
+		"no line break behind it":   {change},
+		"indented":                  {indented(change) + "\n"},
+		"carriage returns":          {strings.ReplaceAll(indented(change), "\n", "\r\n") + "\r\n\r\n"},
+		"byte by byte":              strings.Split(change+"\n", ""),
+		"indented, byte by byte":    strings.Split(indented(change), ""),
+		"behind another":            {peertest.ListText(42, false, up) + "\n" + change + "\n"},
+		"cut where another one was": {peertest.ListText(42, false, up) + change[:30], change[30:]},
+		"blank lines in its middle": {change[:at], "\n", "\n", change[at:]},
+		"the whole list without it": {peertest.ListText(43, true, other) + "\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := peertest.NewRegistry(t)
+			news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+			w := peertest.Await(t, "the watch", g.Watches)
+			for _, p := range pieces {
+				select {
+				case w.Bytes <- p:
+				case <-w.Ended:
+					t.Fatal("the watch was ended")
+				}
+			}
+			for {
+				l := peertest.Await(t, "the change", news)
+				if l.Version != 43 {
+					continue
+				}
+				if gone := l.Whole && len(l.Instances) == 1 && l.Instances[0].Name == "s-2"; !gone && l.Instances[0].Health != core.Draining {
+					t.Errorf("delivered %+v", l)
+				}
+				break
+			}
+			select {
+			case w.Lines <- "": // it is the same watch, and still read
+			case <-w.Ended:
+				t.Error("the watch was ended")
+			}
+			if len(g.Watches) > 0 || len(g.Asked) > 0 {
+				t.Error("another call was needed")
+			}
+		})
+	}
+}
+
+// A message whose rest never comes is no sign of life, though blank lines go on
+// behind it; nor does its first half count.
+func TestHalfAMessageIsSilence(t *testing.T) {
+	g := peertest.NewRegistry(t)
+	news := startDiscovery(t, g, &Listing{Seq: 41, Whole: true})
+	w := peertest.Await(t, "the watch", g.Watches)
+	change := peertest.ListText(43, false, peertest.HostText("s-1", "127.0.0.1:7", "draining", 0))
+	w.Bytes <- change[:strings.Index(change, ",\"health\"")]
+	begun := time.Now()
+	blank := time.NewTicker(silence / 10)
+	defer blank.Stop()
+	for {
+		select {
+		case <-blank.C:
+			select {
+			case w.Lines <- "":
+			case <-w.Ended:
+			}
+			if time.Since(begun) > 2*silence {
+				t.Fatal("blank lines kept a watch open whose message never ended")
+			}
+			continue
+		case again := <-g.Watches:
+			if again.From != "41" {
+				t.Errorf("the next watch is from %s, want 41", again.From)
+			}
+		}
+		break
+	}
+	if len(news) > 0 {
+		t.Errorf("delivered %+v", <-news)
+	}
+}
+
+// While discovery is down a pushed list's agent takes calls and says nothing.
+// What it has at its return is heard well within the 2 s in which a drain is kept.
+func TestReturnOfASilentAgentIsHeardInTime(t *testing.T) {
+	ln := peertest.Listen(t)
+	silent := make(chan net.Conn, 100)
+	up := make(chan struct{})
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			select {
+			case <-up: // it answers those that call from now on, and never those before
+				text := peertest.ListText(43, false, peertest.HostText("s-1", "127.0.0.1:7", "draining", 0)) + "\n"
+				go func() {
+					c.Read(make([]byte, 4<<10))
+					c.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + text))
+				}()
+			default:
+				silent <- c
+			}
+		}
+	}()
+	news := make(chan core.News, 10)
+	d := New(ln.Addr().String(), &Listing{Seq: 41, Whole: true}, func(l core.News) { news <- l })
+	go d.Follow(t.Context())
+	peertest.Await(t, "a call", silent)
+	peertest.Await(t, "a further call", silent)
+	returned := time.Now()
+	close(up)
+	if l := peertest.Await(t, "the change", news); l.Version != 43 {
+		t.Errorf("delivered %+v", l)
+	}
+	if took := time.Since(returned); took > 2*time.Second {
+		t.Errorf("heard %v after the return", took)
+	}
+}
