Bound when a keyed repeat may be written by the servers' memory of the first

Ruled out: the module's own clock (the decision was inside the window), the group (all three are in the pod), a hidden repeat by the transport.

Cause: policy.send checks the window when it decides, and the transport may write as much as the connect timeout later.

Change: Host.Send says within which time the last byte must be written; a transport bounds connecting and writing by it and asks Message.MayBegin next to the write. What may not begin has ended as NotSent, no word against the server. The random test's rule 2 now checks that bound too. The same place asks whether the client has gone, once the front says so.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -75,7 +75,7 @@
 // logEvery is how often an instance's counters go to the log.
 const logEvery = 10 * time.Second
 
-func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -451,7 +451,7 @@
 }
 
 // Send starts an attempt.
-func (l *Core) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (l *Core) Send(id policy.RequestID, to policy.ServerID, timeout, within time.Duration) {
 	r, h := l.requests[id], l.byID[to]
 	if r == nil {
 		return
@@ -459,12 +459,15 @@
 	a := &attempt{req: r, number: len(r.attempts)}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	until := r.Until
+	until, m := r.Until, r.Message
 	if timeout != 0 {
 		if cut := time.Now().Add(timeout); cut.Before(until) {
 			until = cut
 		}
 	}
+	if within > 0 { // from the module's own now: the event may have taken its time
+		m.By = time.Now().Add(within - (l.clock() - l.now))
+	}
 	a.ctx, a.cancel = context.WithDeadline(context.Background(), until)
 	if h == nil || r.over {
 		a.cancel()
@@ -474,7 +477,7 @@
 	node := h.node
 	go func() {
 		defer a.cancel()
-		ending, ans := node.Try(a.ctx, &r.Message)
+		ending, ans := node.Try(a.ctx, &m)
 		l.events <- ended{a, ending, ans}
 	}()
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -7,21 +7,40 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mothridge/policy"
 )
 
-// Message is what goes on to a node, whatever protocol it came by. It must not
-// be changed once it was handed to the core: several attempts may read it.
+// Message is what goes on to a node, whatever protocol it came by. Its map and
+// its body must not be changed once it was handed to the core: several attempts
+// may read them.
 type Message struct {
 	Method string              // GET where it is safe to repeat, else POST
 	Target string              // path and query, as they came
 	Host   string              // the name that the client asked
 	Fields map[string][]string // by canonical name; Request-Id and what else belongs to the request among them
 	Body   []byte
+
+	// Gone, where the front sets it, looks whether the client has left by now. It
+	// may be called from anywhere until the request is answered.
+	Gone func() bool
+	// By, in the copy that an attempt has, is when its last byte has to be written
+	// at the latest; zero: no matter.
+	By time.Time
+}
+
+// MayBegin is asked by transports right before the first byte is written, as
+// much may have happened since the module decided: connections come up late, and
+// clients leave. What may not begin has ended as policy.NotSent.
+func (m *Message) MayBegin(now time.Time) bool {
+	return (m.By.IsZero() || now.Before(m.By)) && (m.Gone == nil || !m.Gone())
 }
 
+// ErrNotBegun is why a transport wrote nothing where MayBegin forbade it.
+var ErrNotBegun = errors.New("it may not begin any more")
+
 // AnswerMargin is kept to the moment a client gives up, which counts from when
 // it sent the request and not from when this process came to read it.
 const AnswerMargin = 5 * time.Millisecond
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -74,7 +74,7 @@
 		},
 		"rule 3: sidecar 0 sends request 1 to node 0": func(c *sidecar, x *request) {
 			c.servers[0].drained, c.now = time.Second, 4*time.Second
-			c.Send(x.id, 1, 0)
+			c.Send(x.id, 1, 0, 0)
 		},
 		"rule 4: node 0 fell over": func(c *sidecar, x *request) {
 			c.nodes[0].started, c.now = time.Second, 3*time.Second
--- a/internal/fleet/reference.go
+++ b/internal/fleet/reference.go
@@ -240,7 +240,7 @@
 	if r.walls != nil {
 		r.walls[x.tenant].used++
 	}
-	r.host.Send(id, to.id, min(x.part, x.until-now))
+	r.host.Send(id, to.id, min(x.part, x.until-now), 0)
 }
 
 // finish gives the request its answer: refused where that is harmless.
--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -156,7 +156,7 @@
 }
 
 // Send starts an attempt.
-func (c *sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (c *sidecar) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	x := c.requests[id]
 	if x == nil {
 		c.breach("sidecar %d sends request %d, which has ended", c.number, id)
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -87,12 +87,17 @@
 	var resp *http.Response
 	var body []byte
 	wrote := false
-	c, err := t.pool.get(ctx, to)
+	reach, cancel := ctx, context.CancelFunc(func() {})
+	if !m.By.IsZero() { // a connection that is up by then is of no use
+		reach, cancel = context.WithDeadline(ctx, m.By)
+	}
+	c, err := t.pool.get(reach, to)
+	cancel()
 	if err == nil {
 		resp, body, wrote, err = t.exchange(ctx, c, m)
 	}
 	switch {
-	case err != nil && !wrote && errors.Is(ctx.Err(), context.Canceled):
+	case err != nil && !wrote && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, core.ErrNotBegun) || !m.MayBegin(time.Now())):
 		return policy.NotSent, nil // no word against the upstream: nobody waited for it any more
 	case err != nil && !wrote:
 		return policy.NoConnection, nil
@@ -138,6 +143,13 @@
 	if err := ctx.Err(); err != nil {
 		return nil, nil, false, err
 	}
+	if !m.MayBegin(time.Now()) {
+		return nil, nil, false, core.ErrNotBegun
+	}
+	if !m.By.IsZero() { // its last byte counts, and the upstream may be slow to read
+		c.SetWriteDeadline(m.By)
+		defer c.SetWriteDeadline(time.Time{})
+	}
 	if n, err := c.Write(c.out.Bytes()); n < c.out.Len() {
 		return nil, nil, false, fmt.Errorf("write request: %w", err)
 	}
--- a/internal/transport/rpcnode/conn.go
+++ b/internal/transport/rpcnode/conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"mothridge/internal/core"
 	"mothridge/internal/msgrpc"
 )
 
@@ -30,6 +31,7 @@
 type exchange struct {
 	id    uint32
 	frame []byte
+	m     *core.Message // whose attempt it is; nil: a probe
 	sent  time.Time
 	stage stage
 	done  chan reply // takes the one reply
@@ -95,13 +97,13 @@
 }
 
 // enqueue puts a request in line; nil says that the connection takes none any more.
-func (c *conn) enqueue(frame func(b []byte, id uint32) []byte) *exchange {
+func (c *conn) enqueue(m *core.Message, frame func(b []byte, id uint32) []byte) *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.takesLocked(time.Now()) {
 		return nil
 	}
-	x := &exchange{id: c.newIDLocked(), done: make(chan reply, 1), sent: time.Now()}
+	x := &exchange{id: c.newIDLocked(), m: m, done: make(chan reply, 1), sent: time.Now()}
 	x.frame = frame(nil, x.id)
 	c.open[x.id] = x
 	c.queue = append(c.queue, x)
@@ -252,9 +254,19 @@
 	for range c.wake {
 		c.mu.Lock()
 		batch, b = batch[:0], b[:0]
-		over := c.err != nil
+		over, by := c.err != nil, time.Now().Add(c.node.t.cfg.DialTimeout)
 		if !over {
+			now := time.Now()
 			for _, x := range c.queue {
+				if x.m != nil && !x.m.MayBegin(now) {
+					delete(c.open, x.id)
+					x.done <- reply{err: fmt.Errorf("%w: %w", errUnwritten, core.ErrNotBegun)}
+					c.settleLocked()
+					continue
+				}
+				if x.m != nil && !x.m.By.IsZero() && x.m.By.Before(by) {
+					by = x.m.By
+				}
 				x.stage = writing
 				b = append(b, x.frame...)
 				batch = append(batch, x)
@@ -267,7 +279,7 @@
 		c.cancels = c.cancels[:0]
 		c.mu.Unlock()
 		if len(b) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(c.node.t.cfg.DialTimeout))
+			c.nc.SetWriteDeadline(by)
 			n, err := c.nc.Write(b)
 			c.wrote(batch, n, err)
 			if err != nil {
--- a/internal/transport/rpcnode/transport.go
+++ b/internal/transport/rpcnode/transport.go
@@ -132,7 +132,7 @@
 
 // Try carries an attempt out.
 func (n *node) Try(ctx context.Context, m *core.Message) (policy.Ending, *core.Answer) {
-	r, wrote := n.exchange(ctx, func(b []byte, id uint32) []byte {
+	r, wrote := n.exchange(ctx, m, func(b []byte, id uint32) []byte {
 		left := time.Hour
 		if until, ok := ctx.Deadline(); ok {
 			left = max(time.Until(until), time.Millisecond)
@@ -140,7 +140,7 @@
 		return outgoing(m, left).Append(b, id)
 	})
 	switch {
-	case r.err != nil && !wrote && errors.Is(ctx.Err(), context.Canceled):
+	case r.err != nil && !wrote && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(r.err, core.ErrNotBegun) || !m.MayBegin(time.Now())):
 		return policy.NotSent, nil // no word against the node: nobody waited for it any more
 	case r.err != nil && !wrote:
 		return policy.NoConnection, nil
@@ -163,7 +163,7 @@
 	load := policy.Load{InFlight: -1}
 	ctx, cancel := context.WithTimeout(ctx, n.t.cfg.DialTimeout)
 	defer cancel()
-	r, _ := n.exchange(ctx, func(b []byte, id uint32) []byte { return msgrpc.AppendPlain(b, id, msgrpc.MethodProbe) })
+	r, _ := n.exchange(ctx, nil, func(b []byte, id uint32) []byte { return msgrpc.AppendPlain(b, id, msgrpc.MethodProbe) })
 	if r.err != nil || r.fault != nil {
 		return false, load
 	}
@@ -173,13 +173,19 @@
 
 // exchange sends one request and waits for its answer. wrote tells whether the
 // request's last byte may have been written; only then can the node have begun it.
-func (n *node) exchange(ctx context.Context, frame func(b []byte, id uint32) []byte) (r reply, wrote bool) {
+func (n *node) exchange(ctx context.Context, m *core.Message, frame func(b []byte, id uint32) []byte) (r reply, wrote bool) {
+	reach := ctx
+	if m != nil && !m.By.IsZero() {
+		var cancel context.CancelFunc
+		reach, cancel = context.WithDeadline(ctx, m.By)
+		defer cancel()
+	}
 	for {
-		c, err := n.conn(ctx)
+		c, err := n.conn(reach)
 		if err != nil {
 			return reply{err: err}, false
 		}
-		if x := c.enqueue(frame); x != nil {
+		if x := c.enqueue(m, frame); x != nil {
 			return c.wait(ctx, x)
 		}
 		// It was closed or filled meanwhile: the next one.
--- a/internal/transport/rpcnode/transport_test.go
+++ b/internal/transport/rpcnode/transport_test.go
@@ -307,7 +307,7 @@
 	frame := func(b []byte, id uint32) []byte { return append(b, make([]byte, 10)...) }
 	var all []*exchange
 	for range 4 {
-		all = append(all, c.enqueue(frame))
+		all = append(all, c.enqueue(nil, frame))
 	}
 	for _, x := range all[:3] {
 		x.stage = writing
@@ -461,7 +461,7 @@
 // Giving up while nothing was written is no word against the node, and nothing is written later.
 func TestGivenUpInLineIsNotSent(t *testing.T) {
 	c := newConn(&node{t: testTransport(Config{})}, &net.TCPConn{})
-	x := c.enqueue(func(b []byte, id uint32) []byte { return append(b, 1) })
+	x := c.enqueue(nil, func(b []byte, id uint32) []byte { return append(b, 1) })
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if r, wrote := c.wait(ctx, x); wrote || r.err == nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -156,8 +156,10 @@
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
-	// Send starts the next attempt of a request, given up after timeout.
-	Send(id RequestID, to ServerID, timeout time.Duration)
+	// Send starts the next attempt of a request, given up after timeout. Where
+	// within is above 0 its last byte must be written within that, or never: the
+	// servers' memory of an earlier attempt ends then.
+	Send(id RequestID, to ServerID, timeout, within time.Duration)
 	// Refuse ends a request; trying again is harmless, best after the pause.
 	Refuse(id RequestID, pause time.Duration)
 	// Fail ends a request with no promise about its effect.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -11,7 +11,7 @@
 // sidecar is the program that embeds the module: it carries out its decisions.
 type sidecar struct{}
 
-func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	fmt.Printf("send request %d, for at most %v\n", id, timeout)
 }
 func (sidecar) Refuse(id policy.RequestID, pause time.Duration) {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -35,7 +35,7 @@
 	h.trace = append(h.trace, fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (h *fakeHost) Send(id RequestID, to ServerID, timeout, within time.Duration) {
 	h.sends = append(h.sends, sent{id, to, timeout})
 	h.note("send %d %d %v", id, to, timeout)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -363,6 +363,10 @@
 	if now < s.warmAt {
 		s.coldAt = now + b.coldGap(now, s)
 	}
+	within := time.Duration(0) // a connection may come up late
+	if first := r.ran(); first != nil && r.class.Effect == Keyed {
+		within = first.sent + r.class.Window - now
+	}
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	r.out++
 	s.out++
@@ -370,7 +374,7 @@
 	if len(r.attempts) > 1 {
 		b.count.Retries++
 	}
-	b.host.Send(r.id, s.ID, r.useful-now)
+	b.host.Send(r.id, s.ID, r.useful-now, within)
 	return true
 }
 
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -56,7 +56,7 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func (w *world) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (w *world) Send(id RequestID, to ServerID, timeout, within time.Duration) {
 	w.note("send %d %d %v", id, to, timeout)
 	a, s := w.held[id], w.listed[to]
 	switch {
@@ -72,6 +72,8 @@
 	class := w.cfg.Classes[a.q.Class]
 	if first := a.mayHaveRun(); first != nil {
 		switch {
+		case class.Effect == Keyed && (within <= 0 || w.now+within > first.sent+class.Window):
+			w.t.Fatalf("rule 2: keyed request %d may be written %v later, past its window of %v from %v", id, within, class.Window, first.sent)
 		case class.Effect == Unsafe:
 			w.t.Fatalf("rule 2: unsafe request %d sent again though it may have run", id)
 		case class.Effect == Keyed && w.now-first.sent >= class.Window:
@@ -371,17 +373,17 @@
 		act        func(w *world)
 	}{
 		{"a second answer", "rule 1", func(w *world) { w.Fail(1); w.Fail(1) }},
-		{"a send after the answer", "rule 1", func(w *world) { w.Fail(1); w.Send(1, 1, ms) }},
+		{"a send after the answer", "rule 1", func(w *world) { w.Fail(1); w.Send(1, 1, ms, ms) }},
 		{"an answer far too late", "rule 1", func(w *world) { w.now += 3 * time.Second; w.Fail(1) }},
-		{"an unsafe request twice", "rule 2", func(w *world) { w.Send(1, 1, ms); w.Send(1, 1, ms) }},
-		{"a refusal of what may have run", "rule 2", func(w *world) { w.Send(1, 1, ms); w.Refuse(1, 0) }},
+		{"an unsafe request twice", "rule 2", func(w *world) { w.Send(1, 1, ms, ms); w.Send(1, 1, ms, ms) }},
+		{"a refusal of what may have run", "rule 2", func(w *world) { w.Send(1, 1, ms, ms); w.Refuse(1, 0) }},
 		{"a burst to a cold server", "rule 4", func(w *world) {
 			for id := RequestID(10); id < 60; id++ {
 				w.held[id] = &asked{q: Request{ID: id}, deadline: w.now + time.Second}
-				w.Send(id, 3, ms)
+				w.Send(id, 3, ms, ms)
 			}
 		}},
-		{"a send to a draining server", "rule 3", func(w *world) { w.Send(1, 2, ms) }},
+		{"a send to a draining server", "rule 3", func(w *world) { w.Send(1, 2, ms, ms) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
