End client connections without a reset, and answer all that is held before SIGKILL

Need: a close over unread bytes resets the connection and may take an answer with it; what is read after a connection's shutdown must not be sent on; after a planned restart all that was taken is answered before SIGKILL.

Read in the code (tests come next): closeIdle, net/http's time-outs and its close after the last answer all closed at once, whatever lay unread. At most 3.6 s after SIGTERM the process left, also with requests open whose deadline is later (6 s with other customers). A connection on which nothing had been sent stayed open after the listener had gone, and a request on it could not be answered in time. New connections that waited at the bound were reset with the listener. A client that sent more than its request and left was not noticed: the watch for it ends with the first byte.

Change: a connection is ended by shutting its write side, reading on to a bound (0.25 s, four requests' size) and closing then; nothing read after that reaches net/http. Those that make way for others and have no answer under way are closed at once, as before, and one for each that waits. The connection reads on behind a request that is answered, up to another one of the largest size, so that the client's leaving shows; transports ask Message.Gone next to the write. Balancer.Quit answers what is held 0.25 s before SIGKILL may come, by the settings' longest deadline; silent connections are ended when the listener has gone, and that waits for what is queued at it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,6 +30,7 @@
 	listed     struct{ news News }
 	listFailed struct{}
 	looked     struct{ state chan<- State }
+	quit       struct{}
 )
 
 // probe is one probe that was asked for; its result waits for those before it.
@@ -163,6 +164,9 @@
 // Abandon says that the client of a request has gone; Reply may still have been called.
 func (l *Core) Abandon(r *Request) { l.events <- left{r} }
 
+// Quit answers all that is held now, and refuses whatever still comes.
+func (l *Core) Quit() { l.events <- quit{} }
+
 // Update passes news of the list on.
 func (l *Core) Update(n News) { l.events <- listed{n} }
 
@@ -279,6 +283,8 @@
 		l.list(kind, e.news)
 	case listFailed:
 		l.b.List(l.now, policy.ListFailed, nil)
+	case quit:
+		l.b.Quit()
 	case looked:
 		e.state <- l.state()
 	}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -96,7 +96,11 @@
 // Shutdown closes the listener and waits until all that was taken is answered,
 // or ctx ends.
 func (s *Front) Shutdown(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	s.listener.lastCall(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- s.server.Shutdown(ctx) }()
+	s.listener.empty(ctx)
+	if err := <-ended; err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down: %w", err)
 	}
 	return nil
@@ -129,6 +133,7 @@
 		panic(http.ErrAbortHandler) // it was closed as idle: the client sends the request once more
 	}
 	r.Reply = func(a core.Answer) { answers <- a }
+	r.Gone = c.left
 	s.taken.Add(1)
 	s.core.Submit(r)
 	var a core.Answer
@@ -141,7 +146,7 @@
 	}
 	// A client that does not read by then has given up; its answer is not held for it.
 	http.NewResponseController(w).SetWriteDeadline(r.Until.Add(writeAfter))
-	s.write(w, a)
+	s.write(w, a, c.flooded.Load())
 }
 
 // rejection says why a request is not taken, and what would be right.
@@ -164,6 +169,7 @@
 	io.WriteString(w, text)
 	rc := http.NewResponseController(w)
 	rc.Flush()
+	hr.Context().Value(connKey{}).(*clientConn).CloseWrite()
 	rc.SetReadDeadline(time.Now().Add(lingerIn))
 	io.CopyN(io.Discard, hr.Body, http1.MaxBody)
 }
@@ -305,7 +311,8 @@
 	core.Duplicate: http.StatusConflict,
 }
 
-func (s *Front) write(w http.ResponseWriter, a core.Answer) {
+// write writes an answer; last says that none is to follow on its connection.
+func (s *Front) write(w http.ResponseWriter, a core.Answer, last bool) {
 	h := w.Header()
 	if a.Fields != nil {
 		http1.DropHopByHop(a.Fields)
@@ -320,7 +327,7 @@
 	if a.Pause > 0 {
 		h.Set("Retry-After", http1.Seconds(a.Pause))
 	}
-	if s.listener.isDraining() {
+	if last || s.listener.isDraining() {
 		h.Set("Connection", "close")
 	}
 	if a.Text != "" {
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -45,15 +45,15 @@
 		s.ServeHTTP(httptest.NewRecorder(), req.WithContext(withConn(t.Context(), c)))
 		return false
 	}
-	closed, open := &clientConn{TCPConn: &net.TCPConn{}}, &clientConn{TCPConn: &net.TCPConn{}}
-	closed.closeIdle()
+	closed, open := &clientConn{TCPConn: &net.TCPConn{}, closed: func(*clientConn) {}}, &clientConn{TCPConn: &net.TCPConn{}, closed: func(*clientConn) {}}
+	closed.closeIdle(endIn)
 	if !serve(closed) || k.taken > 0 {
 		t.Error("a request of a connection that was closed as idle was taken")
 	}
 	if serve(open) || k.taken != 1 {
 		t.Error("a request of an open connection was not taken")
 	}
-	open.closeIdle()
+	open.closeIdle(endIn)
 	if open.state.Load() != connBusy {
 		t.Error("a connection was closed under a request that had been taken")
 	}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"mothridge/internal/http1"
 	"mothridge/internal/sockets"
 )
 
@@ -18,13 +21,25 @@
 // has read a request's header, and a client whose connection was closed meanwhile
 // sends the request once more. If the first one were taken all the same, an
 // unsafe request could run twice.
+//
+// While a request is answered net/http reads one byte ahead, to learn that the
+// client leaves; a client that has sent more than its request would hide that. So
+// the connection reads on behind that byte, and keeps what comes for later.
 type clientConn struct {
 	*net.TCPConn
 	accepted time.Time
-	heard    atomic.Bool // something was read from it
+	closed   func(*clientConn) // hears of its end, once
+	heard    atomic.Bool       // something was read from it
+	gone     atomic.Bool       // its client has closed it
+	active   atomic.Bool       // net/http answers a request of it
+	flooded  atomic.Bool       // more than aheadMost came behind a request
 	state    atomic.Int32
-	requests int       // whose headers were read; net/http serves one at a time
-	since    time.Time // of its last change of state; the listener's lock guards it
+	deadline sync.Mutex  // held to set one, or to begin the end
+	ending   atomic.Bool // nothing that is read from now on counts
+	requests int         // whose headers were read; net/http serves one at a time
+	ahead    []byte      // read behind a request while that was answered; the reader's
+	evicted  bool        // it is closed to make room; the listener's lock guards it
+	since    time.Time   // of its last change of state; the listener's lock guards it
 }
 
 const (
@@ -33,15 +48,77 @@
 	connClosed
 )
 
-// Read notes that the client has said something.
+const (
+	// aheadMost is how many bytes are kept behind a request that is answered:
+	// another one, of the largest size. Clients send one at a time; what asks for
+	// more is answered the first and closed.
+	aheadMost = http1.MaxBody + maxHeader
+	// endIn is how long an ended connection is read on from, and pressedIn where
+	// others wait for its place.
+	endIn     = 250 * time.Millisecond
+	pressedIn = 20 * time.Millisecond
+	// endMost is how many bytes are read on the way.
+	endMost = 4 * aheadMost
+)
+
+// Read reads what was kept first. Once the connection has been ended, what comes
+// is nobody's.
 func (c *clientConn) Read(b []byte) (int, error) {
+	if len(b) == 1 && c.active.Load() {
+		return c.watch(b)
+	}
+	if n := copy(b, c.ahead); n > 0 {
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	c.ahead = nil
+	return c.read(b)
+}
+
+func (c *clientConn) read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
+	if c.ending.Load() {
+		return 0, net.ErrClosed
+	}
 	if n > 0 {
 		c.heard.Store(true)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.gone.Store(true)
+	}
 	return n, err
 }
 
+// watch is the read ahead of net/http: it ends with a byte once net/http calls it
+// back by a deadline, or with the error that says that the client has left.
+func (c *clientConn) watch(b []byte) (int, error) {
+	for len(c.ahead) < aheadMost {
+		var more [1 << 10]byte
+		n, err := c.read(more[:min(len(more), aheadMost-len(c.ahead))])
+		c.ahead = append(c.ahead, more[:n]...)
+		switch {
+		case err == nil:
+		case c.gone.Load() || len(c.ahead) == 0:
+			return 0, err
+		default:
+			return c.first(b), nil
+		}
+	}
+	c.flooded.Store(true)
+	return c.first(b), nil
+}
+
+// first takes the first byte of what was kept.
+func (c *clientConn) first(b []byte) int {
+	n := copy(b, c.ahead)
+	c.ahead = c.ahead[n:]
+	return n
+}
+
+// left looks whether the client has gone. It is asked next to the write of an
+// attempt, where the watch may not have been heard yet.
+func (c *clientConn) left() bool { return c.gone.Load() || sockets.Left(c.TCPConn) }
+
 // bodyBy is until when the body must have come of the request whose header was
 // just read. The first one's budget counts from connecting: a client that stops
 // in the middle of a request does not hold its connection for longer.
@@ -56,15 +133,52 @@
 // false the request must be left alone.
 func (c *clientConn) take() bool { return c.state.CompareAndSwap(connIdle, connBusy) }
 
-// closeIdle closes the connection unless a request of it has been taken.
-func (c *clientConn) closeIdle() bool {
+// closeIdle ends the connection unless a request of it has been taken.
+func (c *clientConn) closeIdle(within time.Duration) bool {
 	idle := c.state.CompareAndSwap(connIdle, connClosed)
 	if idle {
-		c.Close()
+		c.end(within)
 	}
 	return idle
 }
 
+// Close ends the connection; net/http calls it last.
+func (c *clientConn) Close() error {
+	c.state.Store(connClosed)
+	c.end(endIn)
+	return nil
+}
+
+// end closes the connection, once, without taking from the client what was
+// written to it; it does not wait for that. From now on net/http reads nothing
+// more from it, so that no request is taken that comes after its shutdown.
+func (c *clientConn) end(within time.Duration) {
+	c.deadline.Lock()
+	was := c.ending.Swap(true)
+	c.deadline.Unlock()
+	if was {
+		return
+	}
+	go func() { // whoever calls may hold the listener's lock
+		if within == 0 || c.gone.Load() { // nobody is there to lose anything
+			c.TCPConn.Close()
+		} else {
+			sockets.End(c.TCPConn, within, endMost)
+		}
+		c.closed(c)
+	}()
+}
+
+// SetReadDeadline leaves the deadline alone of a connection that is ending.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	if c.ending.Load() {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // silent says whether the client has sent nothing so far, though it had the time to.
 func (c *clientConn) silent(now time.Time) bool {
 	return now.Sub(c.since) >= speakIn && !c.heard.Load() && sockets.Quiet(c.TCPConn)
@@ -90,7 +204,9 @@
 
 	mu       sync.Mutex
 	freed    *sync.Cond
-	open     int
+	open     int           // accepted, and not closed yet
+	leaving  int           // of those, how many are being closed to make room
+	blocked  bool          // Accept waits for room
 	begun    []*clientConn // new, or with a request that is read or answered; the oldest first
 	idle     []*clientConn // between requests, the longest idle first
 	draining bool
@@ -102,6 +218,8 @@
 	speakIn = 50 * time.Millisecond
 	// finishIn is how long a request may take to come whole where others wait.
 	finishIn = 200 * time.Millisecond
+	// lookEvery is how often a front that ends looks at what is left.
+	lookEvery = 10 * time.Millisecond
 	// idlePart is how many tenths may be idle. Clients count those too as theirs,
 	// and where each asks once and stays they could soon open no more.
 	idlePart = 3
@@ -117,28 +235,37 @@
 	l.acquire()
 	c, err := l.Listener.Accept()
 	if err != nil {
-		l.release()
+		l.release(nil)
 		return nil, err
 	}
 	l.accepted.Add(1)
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
 		c.Close()
-		l.release()
+		l.release(nil)
 		return nil, fmt.Errorf("a connection of kind %T, TCP is needed", c)
 	}
-	return &clientConn{TCPConn: tcp, accepted: time.Now()}, nil
+	return &clientConn{TCPConn: tcp, accepted: time.Now(), closed: l.release}, nil
 }
 
 // acquire waits until one more connection may be open.
 func (l *limitedListener) acquire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer func() { l.blocked = false }()
 	for l.open >= l.most {
-		c, soon := l.victim(time.Now())
+		l.blocked = true
+		if l.open-l.leaving < l.most { // those that make way are as good as closed
+			l.freed.Wait()
+			continue
+		}
+		c, within, soon := l.victim(time.Now())
 		switch {
-		case c != nil && !c.closeIdle():
+		case c != nil && !c.closeIdle(within):
 			continue // a request of it was taken a moment ago: another one, then
+		case c != nil:
+			c.evicted = true
+			l.leaving++
 		case soon:
 			again := time.AfterFunc(speakIn, l.freed.Signal)
 			defer again.Stop()
@@ -148,31 +275,35 @@
 	l.open++
 }
 
-// victim takes out the connection to give up for a new one. Where there is none,
-// soon tells that one may turn out to be it in a moment: until then those whose
-// clients asked lately are left alone.
-func (l *limitedListener) victim(now time.Time) (c *clientConn, soon bool) {
+// victim takes out the connection to give up for a new one, and says how long it
+// may be read on from. Where there is none, soon tells that one may turn out to
+// be it in a moment: until then those whose clients asked lately are left alone.
+func (l *limitedListener) victim(now time.Time) (c *clientConn, within time.Duration, soon bool) {
 	for i, c := range l.begun {
 		if c.state.Load() != connIdle {
 			continue // its request was taken
 		}
 		if c.silent(now) || now.Sub(c.since) >= finishIn {
 			l.begun = slices.Delete(l.begun, i, i+1)
-			return c, false
+			return c, 0, false // no answer can be on its way to it
 		}
 		soon = true
 	}
 	if len(l.idle) == 0 || soon {
-		return nil, soon
+		return nil, 0, soon
 	}
 	c = l.idle[0]
 	l.idle = slices.Delete(l.idle, 0, 1)
-	return c, false
+	return c, pressedIn, false
 }
 
-func (l *limitedListener) release() {
+// release notes that a connection has been closed; nil: none came of the room.
+func (l *limitedListener) release(c *clientConn) {
 	l.mu.Lock()
 	l.open--
+	if c != nil && c.evicted {
+		l.leaving--
+	}
 	l.mu.Unlock()
 	l.freed.Signal()
 }
@@ -183,7 +314,53 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for _, c := range l.idle {
-		c.closeIdle()
+		c.closeIdle(endIn)
+	}
+}
+
+// lastCall waits until what came before it is accepted: closing a listener resets
+// what waits there, and at the bound something may.
+func (l *limitedListener) lastCall(ctx context.Context) {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		l.mu.Lock()
+		blocked := l.blocked
+		l.mu.Unlock()
+		if !blocked {
+			return
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// empty waits until every connection has been closed. It ends those that say
+// nothing: after a planned restart was announced clients go on sending on every
+// connection that is open, and the last of them could not be answered.
+func (l *limitedListener) empty(ctx context.Context) {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		l.mu.Lock()
+		open, now := l.open, time.Now()
+		for _, c := range l.begun {
+			if c.state.Load() == connIdle && c.silent(now) {
+				c.closeIdle(endIn)
+			}
+		}
+		l.mu.Unlock()
+		if open <= 0 {
+			return
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -204,23 +381,21 @@
 		}
 	}
 	c.since = time.Now()
+	c.active.Store(state == http.StateActive)
 	switch state {
 	case http.StateNew, http.StateActive:
 		l.begun = append(l.begun, c)
 	case http.StateIdle:
 		c.state.CompareAndSwap(connBusy, connIdle)
 		if l.idle = append(l.idle, c); l.draining {
-			c.closeIdle()
+			c.closeIdle(endIn)
 		} else if len(l.idle) > l.most*idlePart/10 {
-			l.idle[0].closeIdle()
+			l.idle[0].closeIdle(endIn)
 			l.idle = slices.Delete(l.idle, 0, 1)
 		}
 	}
 	l.mu.Unlock()
-	switch state {
-	case http.StateIdle:
+	if state == http.StateIdle {
 		l.freed.Signal() // there is one that may be closed now
-	case http.StateClosed, http.StateHijacked:
-		l.release()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,8 +33,13 @@
 	// lastConnections is how long new connections come after a planned restart
 	// was announced (0.4 s), and some time to take them out of the accept queue.
 	lastConnections = 600 * time.Millisecond
-	// lastAnswers is more than the longest that a request may take.
-	lastAnswers = 3 * time.Second
+	// After that announcement the process is killed no sooner than the longest
+	// deadline, longestWait at most, and killedAfter more. What is open then is lost:
+	// answerBefore that all that is held gets its answer, and there is time to write it.
+	longestWait  = 3 * time.Second
+	killedAfter  = 700 * time.Millisecond
+	answerBefore = 250 * time.Millisecond
+	leaveBefore  = 50 * time.Millisecond // the process has ended by then
 )
 
 // connections divides the sockets between the two sides.
@@ -152,7 +157,7 @@
 		case err := <-served:
 			return fmt.Errorf("serve: %w", err)
 		case <-stop.Done():
-			return shutDown(fronts)
+			return c.shutDown(fronts, k)
 		case <-reload:
 			c.reloadGates(gate, shares)
 			if c.Operator.Sidecar != nil && (gate != nil || shares != nil) {
@@ -253,13 +258,15 @@
 // shutDown ends service for a planned restart. New connections go on coming for
 // a while, and closing a listener resets those that wait to be accepted: it
 // stays open until then, while clients are told to send nothing new.
-func shutDown(fronts []front) error {
+func (c *Config) shutDown(fronts []front, k *core.Core) error {
 	slog.Info("draining")
+	killed := time.Now().Add(c.killedIn())
 	for _, f := range fronts {
 		f.Drain() // none that is idle may get a request after the listener has gone
 	}
+	defer time.AfterFunc(time.Until(killed.Add(-answerBefore)), k.Quit).Stop()
 	time.Sleep(lastConnections)
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	ctx, cancel := context.WithDeadline(context.Background(), killed.Add(-leaveBefore))
 	defer cancel()
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
@@ -275,6 +282,16 @@
 	return errs
 }
 
+// killedIn is how soon after the announcement of a planned restart the process
+// may be killed.
+func (c *Config) killedIn() time.Duration {
+	longest := time.Duration(0)
+	for _, k := range c.Policy.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return max(min(longest, longestWait)+killedAfter, lastConnections+2*answerBefore)
+}
+
 // sweep closes idle upstream connections in time.
 func sweep(ctx context.Context, all []transport) {
 	tick := time.NewTicker(sweepEvery)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -3,26 +3,60 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
+	"time"
 )
 
 // Quiet looks at a socket without blocking: nothing to read and not closed. It
 // goes past the lock of readers, one of which may be waiting on the socket.
 func Quiet(nc net.Conn) bool {
+	_, err := peek(nc)
+	return errors.Is(err, syscall.EAGAIN)
+}
+
+// Left looks whether the other end has closed the connection or reset it, in the
+// same way. Bytes that were not read yet hide a close.
+func Left(nc net.Conn) bool {
+	n, err := peek(nc)
+	return n == 0 && err == nil || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+}
+
+// peek looks at the next byte: how many there are, of one, and what reading would fail with.
+func peek(nc net.Conn) (n int, err error) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	still := false
-	err = raw.Control(func(fd uintptr) {
+	looked := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		still = errors.Is(err, syscall.EAGAIN)
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && still
+	return n, errors.Join(looked, err)
+}
+
+// HalfCloser is a connection whose write side can be shut alone.
+type HalfCloser interface {
+	net.Conn
+	CloseWrite() error
 }
+
+// End closes a connection without taking from the other end what was written to
+// it: a close over bytes that were not read resets the connection, and they may
+// be on their way. It shuts the write side, reads on until the other end has
+// closed too, within a time and a number of bytes, and closes then. What it
+// reads is dropped.
+func End(c HalfCloser, within time.Duration, most int64) error {
+	if c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(within)) == nil {
+		io.CopyN(io.Discard, onlyReader{c}, most)
+	}
+	return c.Close()
+}
+
+// onlyReader hides what a connection offers beside Read, so that nothing is spliced.
+type onlyReader struct{ io.Reader }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,7 +96,8 @@
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
-	if q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts) || q.Left <= 0 {
+	unknown := q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts)
+	if unknown || q.Left <= 0 || b.quit {
 		b.count.Refused++
 		b.host.Refuse(q.ID, 0)
 		return
@@ -205,6 +206,17 @@
 	b.wake(now, idleTick)
 }
 
+// Quit ends the service: all that is held gets its answer now, refused where that
+// is true, and whatever still comes is refused.
+func (b *Balancer) Quit() {
+	b.quit = true
+	for _, r := range b.open {
+		if !r.over && !r.begun {
+			b.finish(r)
+		}
+	}
+}
+
 // shed says whether to refuse a request at once: a wall of less than a slot. Where
 // servers are jammed, clients' further tries and work nobody waits for keep them so,
 // and even one slot a balancer is too many. Each lets through a multiple of what was
--- a/policy/state.go
+++ b/policy/state.go
@@ -107,6 +107,7 @@
 	cheap    float64 // sum over the requests lately, fading: how readily they are shed
 	thin     bool    // own traffic tells too little of a server's load
 	probes   int
+	quit     bool // nothing is taken any more
 	count    Counters
 }
 
