Force the crossings of shutdown, leaving clients and late connections on sockets

Need: each crossing of the stricter acceptance has a test on real sockets that forces it and fails without its guard.

--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -79,3 +79,46 @@
 	peertest.Call{Class: "once", Timeout: "0.5"}.Request(t, "x").Write(c)
 	peertest.Await(t, "the end of the answer", served)
 }
+
+// holding is a core that answers what it takes once it is let go.
+type holding struct {
+	serving
+	taken chan string
+	pass  chan struct{}
+}
+
+func (k *holding) Submit(r *core.Request) {
+	k.taken <- r.ID
+	go func() {
+		<-k.pass
+		r.Reply(core.Answer{Verdict: core.Served})
+	}()
+}
+
+// Closing a listener resets what waits there. At the bound, with a request open
+// on every connection, something may: it is answered before the end.
+func TestWaitingConnectionsAreAcceptedBeforeTheEnd(t *testing.T) {
+	ln, k := peertest.Listen(t), &holding{taken: make(chan string, 10), pass: make(chan struct{})}
+	s := New(testConfig, k, ln)
+	go s.Serve()
+	results := make(chan peertest.Result, 10)
+	for i := range testConfig.Connections + 2 {
+		go func() { results <- peertest.Call{Class: "once", ID: string(rune('a' + i))}.Do(t, ln.Addr().String()) }()
+	}
+	for range testConfig.Connections {
+		peertest.Await(t, "a busy connection", k.taken)
+	}
+	s.Drain()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	peertest.Until(t, "the wait for the last ones", func() bool { return s.listener.isDraining() && s.listener.isBlocked() })
+	close(k.pass)
+	for range testConfig.Connections + 2 {
+		if got := peertest.Await(t, "an answer", results); got.Status != http.StatusOK {
+			t.Errorf("got %+v", got)
+		}
+	}
+	if err := peertest.Await(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -323,13 +323,7 @@
 func (l *limitedListener) lastCall(ctx context.Context) {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
-	for {
-		l.mu.Lock()
-		blocked := l.blocked
-		l.mu.Unlock()
-		if !blocked {
-			return
-		}
+	for l.isBlocked() {
 		select {
 		case <-look.C:
 		case <-ctx.Done():
@@ -338,6 +332,13 @@
 	}
 }
 
+// isBlocked says whether new connections wait for room.
+func (l *limitedListener) isBlocked() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.blocked
+}
+
 // empty waits until every connection has been closed. It ends those that say
 // nothing: after a planned restart was announced clients go on sending on every
 // connection that is open, and the last of them could not be answered.
--- a/internal/peers/peertest/peertest.go
+++ b/internal/peers/peertest/peertest.go
@@ -5,11 +5,14 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -266,3 +269,62 @@
 	}
 	return text
 }
+
+// Unreached is an address at which connections do not come up before Admit: what
+// waits there to be accepted fills its queue, so that the system passes over
+// further ones, and their clients try again 1 s and 3 s after they began.
+type Unreached struct {
+	Addr   string
+	fd     int
+	filler net.Conn
+}
+
+// NewUnreached makes one.
+func NewUnreached(t testing.TB) *Unreached {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &Unreached{fd: fd}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.Addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	if u.filler, err = net.Dial("tcp", u.Addr); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { u.filler.Close() })
+	return u
+}
+
+// Admit lets the next connection come up and returns the requests that are read
+// on it; each is answered 200.
+func (u *Unreached) Admit(t testing.TB) <-chan Received {
+	t.Helper()
+	first, _, err := syscall.Accept(u.fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Close(first) // the filler's
+	up := &Upstream{Requests: make(chan Received, 100), Closed: make(chan net.Conn, 100)}
+	go func() {
+		fd, _, err := syscall.Accept(u.fd)
+		if err != nil {
+			return
+		}
+		f := os.NewFile(uintptr(fd), "late")
+		c, err := net.FileConn(f)
+		f.Close()
+		if err == nil {
+			up.serve(c, Always(Answer200("late")))
+			c.Close()
+		}
+	}()
+	return up.Requests
+}
