Let a cold server's budget hold for the sum of all balancers, also after a restart

Need: beyond its budget of N requests a cold server bears 2 x root of N + 2 from all balancers together, also where the part of each is below one request.

Seen, with thirty balancers of the decision module against one cold server: told of it with a whole list, as after a restart, they sent it 8 and more within a second where it bears 6; a change alone was kept to.

Cause: enter() worked out a cold server's part while the list was being read, when the weights of those behind it were not known, so the first one's pause was that of a fleet of one server. Without quotas the part was not divided by the number of balancers; and it had a floor of one in 100 s.

Change: the part of those that have just started is worked out when the list has been read. Without quotas it is an even part of one answer at a time. Also the pause between failed calls for an asked list ends at 1.5 s (2.25 s with its spread): a call may be given up after 3 s and the next wait 2 s, and a change counts as told 6 s after it could be had.

--- a/policy/health.go
+++ b/policy/health.go
@@ -5,11 +5,14 @@
 const (
 	firstPause = 250 * time.Millisecond // before a server judged unwell is tried again, or the
 	lastPause  = 4 * time.Second        // list asked for; doubled after each failure up to this
+	// lastAsk is the same for the list: a change counts as told 6 s after it could be
+	// had, whatever calls failed before. One is given up after 3 s, the next may wait 2 s.
+	lastAsk = 3 * time.Second / 2
 )
 
 // backoff is the pause after n failures, spread so that balancers do not act as one.
-func (b *Balancer) backoff(n int) time.Duration {
-	d := min(firstPause<<min(n, 16), lastPause)
+func (b *Balancer) backoff(n int, most time.Duration) time.Duration {
+	d := min(firstPause<<min(n, 16), most)
 	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
 }
 
@@ -50,7 +53,7 @@
 
 // strike takes evidence against a server: it loses its turn but for a trial after a pause.
 func (b *Balancer) strike(now time.Duration, s *server) {
-	s.trialAt = now + b.backoff(s.strikes)
+	s.trialAt = now + b.backoff(s.strikes, lastPause)
 	s.strikes++
 	b.mark(now, s, true)
 }
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -22,6 +22,7 @@
 	failed    map[RequestID]bool
 	cancelled []RequestID
 	wakes     []time.Duration
+	at        []time.Duration // when the sends went out, where a test notes that
 	probes    []ServerID
 	asks      int
 	trace     []string
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -393,10 +393,13 @@
 // coldGap spaces sends to a cold server so that all balancers together stay
 // well within its budget: each keeps an even part, whatever traffic it has.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
-	// The quotas are close to what all servers can do; without them one answer's time is the guide.
-	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), 1/b.pace.Seconds())
-	rate *= s.Weight / max(b.weight, s.Weight) * coldPart * max(b.cfg.ColdMultiple, 1) * b.warmth(now, s)
-	return time.Duration(float64(time.Second) / max(rate, 0.01))
+	// The quotas are close to what all servers can do; without them one answer at a time is the guide.
+	rate := b.quota * s.Weight / max(b.weight, s.Weight)
+	if b.quota == 0 {
+		rate = s.Weight * float64(max(1, b.ready)) / max(b.weight, s.Weight) / b.pace.Seconds()
+	}
+	rate *= coldPart * max(b.cfg.ColdMultiple, 1) * b.warmth(now, s) / float64(b.cfg.Balancers)
+	return time.Duration(min(float64(time.Second)/rate, float64(time.Hour)))
 }
 
 // warmth is the share of its capacity that a server has at least.
@@ -438,7 +441,7 @@
 		return nil
 	case best.unwell:
 		b.count.Trials++
-		best.trialAt = now + b.backoff(best.strikes)
+		best.trialAt = now + b.backoff(best.strikes, lastPause)
 	case best.turn >= lost:
 		b.count.Ordinary++
 	default:
@@ -457,7 +460,7 @@
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
-		b.askAt = now + b.backoff(b.askFails)
+		b.askAt = now + b.backoff(b.askFails, lastAsk)
 		b.askFails++
 		return
 	}
@@ -484,6 +487,11 @@
 			b.weigh(s, 1)
 		}
 	}
+	for _, s := range b.fresh { // whose part is known only with the whole list
+		// All balancers are told at once: their first sends together would push it over.
+		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+	}
+	b.fresh = b.fresh[:0]
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
@@ -509,8 +517,7 @@
 	if fresh { // cold, and nothing known of it holds any more
 		s.warmAt = max(s.warmAt, e.Started+b.cfg.ColdTime)
 		s.unwell, s.strikes, s.doubted, s.heard = false, 0, false, now
-		// All balancers are told at once: their first sends together would push it over.
-		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		b.fresh = append(b.fresh, s)
 	}
 	b.weigh(&was, -1)
 	b.weigh(s, 1)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -500,7 +501,9 @@
 			b.List(now, ListFailed, nil)
 		}
 	}
-	if len(gaps) < 4 || slices.Max(gaps) >= cfg.AskWithin || gaps[0] >= gaps[len(gaps)-1] {
+	// With 3 s after which a call is given up and 2 s that the next may wait, what could
+	// be had is known 8 s later: told after 6 s, a drain is kept after 2 s more.
+	if len(gaps) < 4 || slices.Max(gaps) >= 3*time.Second || slices.Max(gaps) >= cfg.AskWithin || gaps[0] >= gaps[len(gaps)-1] {
 		t.Fatalf("gaps between calls %v: want them to grow, and none to reach %v", gaps, cfg.AskWithin)
 	}
 	if b.known[1] == nil {
@@ -950,3 +953,82 @@
 		t.Error("sent to servers that report to be full")
 	}
 }
+
+// A cold server bears so much from all balancers together: its budget of N
+// requests, and for chance twice its root and two more. Thirty balancers, each with
+// more traffic than it could ever place, keep to that also where the part of each
+// is far below one request, and where nobody told what the servers can do.
+func TestColdServerIsSparedByTheFleet(t *testing.T) {
+	const balancers, servers, takes = 30, 6, 50 * ms
+	warm := ready(2, 3, 4, 5, 6)
+	for name, quota := range map[string]float64{"a part of 0.03 a second": 12, "a part of 0.9 a second": 360, "no quotas": 0} {
+		for seed := range uint64(8) {
+			restarted := seed%2 == 1
+			cfg := testConfig()
+			cfg.Balancers, cfg.Slots = balancers, 40
+			cfg.Tenants = []Tenant{{Share: 1, Quota: quota}}
+			capacity := quota / servers // requests a second of one server, warm
+			if quota == 0 {
+				capacity = float64(time.Second) / float64(takes) // what answers tell: it does one at a time
+			}
+			seeds := rand.New(rand.NewPCG(seed, 1)) // near ones would make their first choices alike
+			now := time.Hour
+			fleet, hosts := make([]*Balancer, balancers), make([]*fakeHost, balancers)
+			begin := func(i int, list []Server) {
+				h := newFakeHost()
+				b, err := New(cfg, seeds.Uint64(), h)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b.Start(now)
+				b.List(now, ListFull, list)
+				fleet[i], hosts[i] = b, h
+			}
+			for i := range fleet {
+				begin(i, warm)
+			}
+			var sends []time.Duration
+			serve := func(count bool) {
+				for i, b := range fleet {
+					h := hosts[i]
+					for n := range 6 {
+						ask(b, now, RequestID(now/ms)*10+RequestID(n)+1, safeClass)
+					}
+					for len(h.at) > 0 && h.at[0] <= now-takes {
+						end(b, now, h.sends[0].id, 0, Served)
+						h.sends, h.at = h.sends[1:], h.at[1:]
+					}
+					for _, s := range h.sends[len(h.at):] {
+						h.at = append(h.at, now)
+						if count && s.to == 1 {
+							sends = append(sends, now)
+						}
+					}
+				}
+			}
+			for ; now < time.Hour+2*time.Second; now += 20 * ms { // what answers take is known by then
+				serve(false)
+			}
+			began := now
+			cold := Server{ID: 1, State: Ready, Weight: 1, Started: began}
+			for i := range fleet { // told at once, all of them, and with the whole list where they start anew themselves
+				if !restarted {
+					fleet[i].List(now, ListDelta, []Server{cold})
+					continue
+				}
+				begin(i, append([]Server{cold}, warm...))
+			}
+			for ; now < began+cfg.ColdTime; now += 20 * ms {
+				serve(true)
+				for len(sends) > 0 && sends[0] <= now-time.Second {
+					sends = sends[1:]
+				}
+				warmth := cfg.ColdFrom + (1-cfg.ColdFrom)*float64(now-began)/float64(cfg.ColdTime)
+				budget := cfg.ColdMultiple * warmth * capacity
+				if most := budget + 2*math.Sqrt(budget) + 2; float64(len(sends)) > most {
+					t.Errorf("%s, seed %d: %d requests within a second, %v after its start; it bears %.1f", name, seed, len(sends), now-began, most)
+				}
+			}
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,6 +85,7 @@
 	open     []*request           // in order of arrival; ended ones are swept out by Wake
 	servers  []*server            // in the order in which the list named them
 	known    map[ServerID]*server // the same, by name
+	fresh    []*server            // of the list under way: those that have just started
 	slots    int                  // of all compartments
 	mean     float64              // what the slots of all balancers hold while traffic is at the quotas
 	quota    float64              // of all tenants together
