End MessagePack-RPC connections without a reset, and look for a client that left

The same as over HTTP/1.1: the write side is shut, what still comes is read on to a bound and dropped, then the connection closes; requests ask next to the write of an attempt whether their client has left or cancelled them.

--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -10,6 +10,7 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/msgrpc"
+	"mothridge/internal/sockets"
 )
 
 // conn is one client connection. The reader takes requests, the writer gives
@@ -66,10 +67,19 @@
 	defer c.mu.Unlock()
 	if c.idleLocked() {
 		c.closed = true
-		c.nc.Close()
+		c.signal()
 	}
 }
 
+// gone looks whether the client of a request has left or cancelled it. It is
+// asked next to the write of an attempt, where the core may not know it yet.
+func (c *conn) gone(id uint32, r *core.Request) bool {
+	c.mu.Lock()
+	open := c.open[id] == r
+	c.mu.Unlock()
+	return !open || sockets.Left(c.nc)
+}
+
 // drain asks the client to send nothing new.
 func (c *conn) drain() {
 	c.mu.Lock()
@@ -116,11 +126,9 @@
 	c.line, c.held = nil, 0
 	c.mu.Unlock()
 	c.signal()
-	c.nc.Close()
 	for _, r := range open {
 		c.front.core.Abandon(r)
 	}
-	c.front.forget(c)
 }
 
 // lastWord tells the client why its connection ends, if it reads at once.
@@ -186,6 +194,7 @@
 	}
 	id := m.ID
 	r.Reply = func(a core.Answer) { c.reply(id, r, a) }
+	r.Gone = func() bool { return c.gone(id, r) }
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -286,7 +295,7 @@
 // write is the writer. A client that does not read what it asked for loses its
 // connection: its answers are not held for it.
 func (c *conn) write() {
-	defer c.nc.Close() // ends the reader too
+	defer c.hangUp()
 	var b []byte
 	var batch []answer
 	for range c.wake {
@@ -330,5 +339,26 @@
 	}
 }
 
+const (
+	// endIn is how long an ended connection is read on from, and endMost how many
+	// bytes of it: see sockets.End.
+	endIn   = 250 * time.Millisecond
+	endMost = 4 * msgrpc.MaxRequest
+)
+
+// hangUp ends the connection, the reader too, without taking from the client what
+// was written to it.
+func (c *conn) hangUp() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	if half, ok := c.nc.(sockets.HalfCloser); ok {
+		sockets.End(half, endIn, endMost)
+	} else {
+		c.nc.Close()
+	}
+	c.front.forget(c)
+}
+
 // keptBuffer is how large a buffer a writer keeps.
 const keptBuffer = 32 << 10
