--- a/internal/front/rpcfront/front_test.go
+++ b/internal/front/rpcfront/front_test.go
@@ -531,3 +531,77 @@
 		t.Errorf("the busy one got %+v", m)
 	}
 }
+
+// Sixty-four requests come in one piece with a cancel in their middle: that one
+// alone has gone, at once, also for whoever is about to write an attempt of it.
+// When the client leaves, so have the others.
+func TestCancelAmongManyInOnePiece(t *testing.T) {
+	k := newHolding()
+	f := startFront(t, Config{Open: 64}, k)
+	c := dial(t, f)
+	var text []byte
+	for id := range uint32(64) {
+		call := msgrpc.Call{ID: fmt.Sprint("r", id), Class: "once", Tenant: "north", Left: 5 * time.Second}
+		if text = call.Append(text, id); id == 40 {
+			text = msgrpc.AppendCancel(text, 32)
+		}
+	}
+	c.Write(text)
+	all := make(map[string]*core.Request)
+	for range 64 {
+		r := peertest.Await(t, "a request", k.taken)
+		all[r.ID] = r
+	}
+	if r := peertest.Await(t, "the cancelled one", k.left); r.ID != "r32" {
+		t.Errorf("%s was given up", r.ID)
+	}
+	for id, r := range all {
+		if r.Gone() != (id == "r32") {
+			t.Errorf("%s: gone is %v", id, r.Gone())
+		}
+	}
+	c.fault(t, 32)
+	c.Close()
+	peertest.Until(t, "all to be gone", func() bool {
+		for _, r := range all {
+			if !r.Gone() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A request that comes as its connection is ended is not taken, and resets nothing.
+func TestRequestThatCrossesTheEnd(t *testing.T) {
+	k := newHolding()
+	f := startFront(t, Config{}, k)
+	c := dial(t, f)
+	c.ask(1, nil)
+	r := peertest.Await(t, "the request", k.taken)
+	f.Drain()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Shutdown(t.Context()) }()
+	r.Reply(core.Answer{Verdict: core.Served, Body: []byte("ok")})
+	served := false
+	for {
+		m, err := c.read()
+		if errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatalf("the connection ended with %v", err)
+		}
+		served = served || m.Kind == msgrpc.Response && m.Fault == nil
+	}
+	for id := range uint32(3) {
+		call := msgrpc.Call{ID: fmt.Sprint("late", id), Class: "once", Tenant: "north", Left: 5 * time.Second}
+		if _, err := c.Write(call.Append(nil, 10+id)); err != nil {
+			t.Errorf("the connection was reset: %v", err)
+		}
+		time.Sleep(5 * time.Millisecond) // a reset would be there by now
+	}
+	c.Close()
+	if err := peertest.Await(t, "the end", ended); err != nil || !served || len(k.taken) > 0 {
+		t.Errorf("error %v, served %v, %d taken after the end", err, served, len(k.taken))
+	}
+}
--- a/internal/transport/httpnode/transport_test.go
+++ b/internal/transport/httpnode/transport_test.go
@@ -424,3 +424,59 @@
 	m := &core.Message{Method: "POST", Target: "/api", Host: "service.internal", Fields: http.Header{"Request-Id": {"x"}}, Body: []byte("{}")}
 	return (&Transport{pool: p}).try(ctx, to, m)
 }
+
+// What the module decided may be out of date once there is a connection: its client
+// has left, or the time is over in which it may be written. Nothing is, and that is
+// no word against the upstream.
+func TestWhatMayNotBeginWritesNothing(t *testing.T) {
+	gone := func() bool { return true }
+	for name, c := range map[string]struct {
+		m    core.Message
+		wait time.Duration // for a place among the connections
+	}{
+		"the client has gone":         {m: core.Message{Gone: gone}},
+		"gone while it waited":        {m: core.Message{Gone: gone}, wait: 20 * time.Millisecond},
+		"its time is over":            {m: core.Message{By: time.Now().Add(-time.Millisecond)}},
+		"its time ends as it waits":   {m: core.Message{By: time.Now().Add(10 * time.Millisecond)}, wait: 50 * time.Millisecond},
+		"both, and the client waited": {m: core.Message{By: time.Now().Add(10 * time.Millisecond), Gone: gone}, wait: 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := peertest.NewUpstream(t, peertest.Always(peertest.Answer200("ok")))
+			p, to := testPool(1), &peer{addr: u.Addr}
+			c.m.Method, c.m.Target, c.m.Host = "POST", "/", "x"
+			if c.wait > 0 {
+				held, err := p.get(t.Context(), &peer{addr: u.Addr})
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.AfterFunc(c.wait, func() { p.drop(held) })
+			}
+			if got, a := (&Transport{pool: p}).try(t.Context(), to, &c.m); got != policy.NotSent || a != nil {
+				t.Errorf("ending %v, answer %+v; want not sent", got, a)
+			}
+			if ending, _ := tryOnce(t.Context(), p, &peer{addr: u.Addr}); ending != policy.Served { // the place is free again
+				t.Errorf("another one: ending %v", ending)
+			}
+			if r := peertest.Await(t, "the other request", u.Requests); r.Header.Get("Request-Id") != "x" || len(u.Requests) > 0 {
+				t.Errorf("the upstream read %v and %d more", r.Header, len(u.Requests))
+			}
+		})
+	}
+}
+
+// Once a connection is up, an upstream that reads slowly gets the last byte in time or never.
+func TestLastByteIsWrittenInTimeOrNever(t *testing.T) {
+	ln := peertest.Listen(t)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			c.(*net.TCPConn).SetReadBuffer(4 << 10) // and nobody reads
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	m := &core.Message{Method: "POST", Target: "/", Host: "x", Body: make([]byte, 16<<20), By: time.Now().Add(200 * time.Millisecond)}
+	begun := time.Now()
+	got, _ := (&Transport{pool: testPool(1)}).try(t.Context(), &peer{addr: ln.Addr().String()}, m)
+	if took := time.Since(begun); got != policy.NotSent || took > time.Second {
+		t.Errorf("ending %v after %v, want not sent after 0.2 s", got, took)
+	}
+}
--- a/internal/transport/rpcnode/transport_test.go
+++ b/internal/transport/rpcnode/transport_test.go
@@ -557,3 +557,30 @@
 	peertest.Await(t, "its end", conn.ended)
 	peertest.Until(t, "the slot", func() bool { return len(tr.slots) == 0 })
 }
+
+// What the module decided may be out of date once it is to be written: see
+// core.Message.MayBegin. Nothing is written, and others on the connection go on.
+func TestWhatMayNotBeginWritesNothing(t *testing.T) {
+	for name, m := range map[string]core.Message{
+		"the client has gone": {Gone: func() bool { return true }},
+		"its time is over":    {By: time.Now().Add(-time.Millisecond)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRaw(t)
+			n := testTransport(Config{}).Node(r.ln.Addr().String())
+			first := try(t.Context(), n, "first")
+			conn := peertest.Await(t, "the connection", r.conns)
+			conn.serve(peertest.Await(t, "the first", conn.calls).msgID, "ok")
+			peertest.Await(t, "its answer", first)
+			if e, a := n.Try(t.Context(), &m); e != policy.NotSent || a != nil {
+				t.Errorf("ending %v, answer %+v; want not sent", e, a)
+			}
+			other := try(t.Context(), n, "other")
+			call := peertest.Await(t, "the other", conn.calls)
+			conn.serve(call.msgID, "ok")
+			if e := peertest.Await(t, "its answer", other); e.ending != policy.Served || call.call.ID != "other" || len(conn.calls) > 0 {
+				t.Errorf("the node read %+v, ending %v", call.call, e.ending)
+			}
+		})
+	}
+}
