--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,8 +132,28 @@
 		return absent
 	}
 	f, err := strconv.ParseFloat(v, 64)
-	if err != nil && s.err == nil {
-		s.err = fmt.Errorf("settings: %s: %w", key, err)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		s.wrong("%s is %.40q: a plain number is needed, such as 3 or 0.25", key, v)
+		return absent
+	}
+	return f
+}
+
+// wrong notes the first value that cannot be used: its place, and what would be right.
+func (s *Settings) wrong(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf("settings: "+format, args...)
+	}
+}
+
+// above0 reads a value without which there is nothing to go by.
+func (s *Settings) above0(key, unit string) float64 {
+	f := s.number(key, 0)
+	switch {
+	case s.values[key] == "":
+		s.wrong("%s is missing: %s are needed, a number above 0", key, unit)
+	case f <= 0:
+		s.wrong("%s is %s: %s are needed, a number above 0", key, s.values[key], unit)
 	}
 	return f
 }
@@ -141,8 +161,8 @@
 func (s *Settings) count(key string) int {
 	const most = 1 << 16 // far above any real list; a guard against a broken figure
 	n := s.number(key, 0)
-	if (n < 0 || n > most || n != float64(int(n))) && s.err == nil {
-		s.err = fmt.Errorf("settings: %s: %v is not a count", key, n)
+	if n < 0 || n > most || n != float64(int(n)) {
+		s.wrong("%s is %v: a whole number from 0 to %d is needed", key, n, most)
 		return 0
 	}
 	return int(n)
@@ -178,12 +198,17 @@
 		ProbePrice:     s.number("charges.probe", 0),
 		CrossZonePrice: s.number("charges.cross_zone", 0),
 	}
+	s.above0("balancers", "balancers in all")
+	s.above0("caps.most_tries", "attempts for a request")
+	if s.above0("classes.count", "classes of requests"); s.err != nil {
+		return c, s.err
+	}
 	for i := range s.count("classes.count") {
 		p := fmt.Sprintf("classes.%d.", i)
 		k := policy.Class{
-			Aim:        Millis(s.number(p+"aim_ms", 0)),
+			Aim:        Millis(s.above0(p+"aim_ms", "milliseconds")),
 			AimStretch: s.number(p+"aim_stretch", 0),
-			Deadline:   Millis(s.number(p+"hard_limit_ms", 0)),
+			Deadline:   Millis(s.above0(p+"hard_limit_ms", "milliseconds")),
 			LateShare:  s.number(p+"late_share", 0),
 			Worth:      s.number(p+"worth", 0),
 			Window:     Millis(s.number(p+"window_ms", 0)),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,13 +73,23 @@
 	if got := s.InFlightColumn(); got != 3 {
 		t.Errorf("columns %+v", got)
 	}
-	for _, bad := range []string{"balancers=three", "classes.count=-1", "classes.count=1e9", "orgs.count=1.5"} {
-		s, err := Parse([]byte(bad))
+	for bad, want := range map[string]string{
+		"balancers=three":            `settings: balancers is "three": a plain number is needed, such as 3 or 0.25`,
+		"balancers=0":                "settings: balancers is 0: balancers in all are needed, a number above 0",
+		"caps.most_tries=":           "settings: caps.most_tries is missing: attempts for a request are needed, a number above 0",
+		"classes.count=-1":           "settings: classes.count is -1: classes of requests are needed, a number above 0",
+		"classes.count=1e9":          "settings: classes.count is 1e+09: a whole number from 0 to 65536 is needed",
+		"classes.count=3":            "settings: classes.2.aim_ms is missing: milliseconds are needed, a number above 0",
+		"classes.1.hard_limit_ms=-5": "settings: classes.1.hard_limit_ms is -5: milliseconds are needed, a number above 0",
+		"rules.cold_from=NaN":        `settings: rules.cold_from is "NaN": a plain number is needed, such as 3 or 0.25`,
+		"orgs.count=1.5":             "settings: orgs.count is 1.5: a whole number from 0 to 65536 is needed",
+	} {
+		s, err := Parse([]byte(someSettings + bad))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := s.Config(); err == nil {
-			t.Errorf("%s: no error", bad)
+		if _, err := s.Config(); err == nil || err.Error() != want {
+			t.Errorf("%s: error %v, want %s", bad, err, want)
 		}
 	}
 	if _, err := Parse([]byte("no equals sign")); err == nil {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -126,10 +127,10 @@
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, err
+		return nil, placed(text, err)
 	}
 	if f.Settings == nil {
-		return nil, fmt.Errorf("settings are missing")
+		return nil, fmt.Errorf("settings are missing: the object that an instance starts with is needed")
 	}
 	s, err := settings.ParseJSON(f.Settings)
 	if err != nil {
@@ -152,7 +153,7 @@
 		c.LoadField = columns[i]
 	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: %w", err)
+		return nil, fmt.Errorf("seed is %.40q: up to 16 hexadecimal digits are needed", f.Seed)
 	}
 	if slices.Contains(c.Classes, "") || slices.Contains(c.Tenants, "") {
 		return nil, fmt.Errorf("settings: a class or tenant has no name")
@@ -166,6 +167,25 @@
 	return c, nil
 }
 
+// placed adds line and column to what is wrong with a JSON text.
+func placed(text []byte, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	var at int64
+	switch {
+	case errors.As(err, &syntax):
+		at = syntax.Offset
+	case errors.As(err, &kind):
+		at = kind.Offset
+	default:
+		return err
+	}
+	before := text[:min(max(at-1, 0), int64(len(text)))]
+	line := bytes.Count(before, []byte{'\n'})
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Errorf("line %d, column %d: %w", line+1, column, err)
+}
+
 // parseKnown reads the list as last held. One that cannot be read is done
 // without: discovery brings another.
 func parseKnown(text json.RawMessage) *platform.Listing {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -170,17 +170,21 @@
 		c.DialTimeout != defaultDialTimeout || c.ConnIdle != defaultConnIdle {
 		t.Errorf("configuration %+v, error %v", c, err)
 	}
-	for name, change := range map[string][2]string{
-		"no JSON":      {"{", "("},
-		"no settings":  {`"settings"`, `"others"`},
-		"no seed":      {`"ff"`, `"seed"`},
-		"no address":   {"127.0.0.1:2", "discovery.internal"},
-		"few sockets":  {"1024", "3"},
-		"wrong figure": {`"most_tries":3`, `"most_tries":"x"`},
-		"no name":      {`"name":"a"`, `"name":""`},
+	for name, change := range map[string][3]string{ // what is wrong, and a part of what is said of it
+		"no JSON":      {"{", "(", "line 1, column 1: "},
+		"cut short":    {`"settings":{`, `"settings":`, "line 2, column 79"},
+		"wrong kind":   {`"sockets":1024`, `"sockets":"many"`, "line 2, column "},
+		"no settings":  {`"settings"`, `"others"`, "settings are missing"},
+		"no seed":      {`"ff"`, `"seed"`, "16 hexadecimal digits are needed"},
+		"no address":   {"127.0.0.1:2", "discovery.internal", "discovery address"},
+		"few sockets":  {"1024", "3", "at least 64 are needed"},
+		"wrong figure": {`"most_tries":3`, `"most_tries":"x"`, "settings: caps.most_tries is"},
+		"no deadline":  {`,"hard_limit_ms":2`, ``, "settings: classes.0.hard_limit_ms is missing"},
+		"no name":      {`"name":"a"`, `"name":""`, "a class or tenant has no name"},
 	} {
-		if _, err := load(strings.Replace(good, change[0], change[1], 1), nil); err == nil || strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: error %v, want one plain line", name, err)
+		_, err := load(strings.Replace(good, change[0], change[1], 1), nil)
+		if err == nil || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), change[2]) {
+			t.Errorf("%s: error %v, want one plain line with %q", name, err, change[2])
 		}
 	}
 	if _, err := LoadConfig(func(string) string { return "" }); err == nil {
