--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -6,7 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -360,3 +364,205 @@
 		t.Errorf("%d requests were written after the window", n)
 	}
 }
+
+// Idle clients fill their part of the descriptors while discovery is down: clients
+// that ask, upstreams, probes and discovery have theirs.
+func TestIdleClientsFillTheDescriptors(t *testing.T) {
+	drained, stays := peertest.NewUpstream(t, peertest.Always(peertest.Answer200("ok"))), peertest.NewUpstream(t, peertest.Always(peertest.Answer200("ok")))
+	agent := peertest.Listen(t)
+	silent, drain := make(chan net.Conn, 1000), make(chan struct{})
+	go func() {
+		for {
+			c, err := agent.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			select {
+			case <-drain:
+				c.Read(make([]byte, 4<<10))
+				text := peertest.ListText(2, true, peertest.HostText("s-2", stays.Addr, "up", 0))
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+text)
+			default:
+				silent <- c
+			}
+		}
+	}()
+	c := testConfig(t, options{sockets: leastSockets, probes: true}, agent.Addr().String(),
+		peertest.HostText("s-1", drained.Addr, "up", 0), peertest.HostText("s-2", stays.Addr, "up", 0))
+	addr, _, _ := startSidecar(t, c)
+	peertest.Await(t, "a call to the silent agent", silent)
+	for i := range 4 * leastSockets {
+		idle := dial(t, addr)
+		if i%4 == 0 {
+			io.WriteString(idle, "POST /api HT") // and no more
+		}
+	}
+	ask := func(id string) {
+		t.Helper()
+		begun := time.Now()
+		if got := (peertest.Call{Class: "read", ID: id}).Do(t, addr); got.Status != 200 || time.Since(begun) > 2*time.Second {
+			t.Errorf("%s: %+v after %v", id, got, time.Since(begun))
+		}
+	}
+	for i := range 8 {
+		ask(fmt.Sprint("down", i))
+	}
+	if resp, err := http.Get("http://" + addr + "/health/ready"); err != nil || resp.StatusCode != 200 {
+		t.Errorf("ready: %v, error %v", resp, err)
+	}
+	close(drain)
+	peertest.Until(t, "the drain to be heard", func() bool { // its idle connections are closed with it
+		select {
+		case <-drained.Closed:
+			return true
+		default:
+			return false
+		}
+	})
+	probes := 0
+	for _, u := range []*peertest.Upstream{drained, stays} {
+		for len(u.Requests) > 0 {
+			if r := <-u.Requests; r.URL.Path == "/stats" {
+				probes++
+			}
+		}
+	}
+	for i := range 8 {
+		ask(fmt.Sprint("drained", i))
+	}
+	if len(drained.Requests) > 0 || probes == 0 {
+		t.Errorf("%d sent to the drained one, %d probes", len(drained.Requests), probes)
+	}
+}
+
+// Whatever becomes of the watch, a drain that follows is kept: 2 s after it counts
+// as told nothing new goes to its server, and nothing that has begun is lost.
+func TestDrainAfterWhatBecomesOfTheWatch(t *testing.T) {
+	const grace = 2 * time.Second
+	type scene struct {
+		g, moved *peertest.Registry
+		w        *peertest.Watch
+		drain    string // the change
+		whole    string // the list without the one that drains
+		reload   func(discovery string)
+	}
+	again := func(t *testing.T, g *peertest.Registry) *peertest.Watch {
+		return peertest.Await(t, "another watch", g.Watches)
+	}
+	for name, become := range map[string]struct {
+		told time.Duration // after the moment of the fate, when the drain counts as told
+		fate func(t *testing.T, s scene)
+	}{
+		"stays": {0, func(t *testing.T, s scene) { s.w.Lines <- s.drain }},
+		"comes in bytes": {0, func(t *testing.T, s scene) {
+			w := s.w
+			for _, b := range s.drain {
+				w.Bytes <- string(b)
+			}
+		}},
+		"ends":             {0, func(t *testing.T, s scene) { close(s.w.Lines); again(t, s.g).Lines <- s.drain }},
+		"ends, then whole": {0, func(t *testing.T, s scene) { close(s.w.Lines); again(t, s.g).Lines <- s.whole }},
+		"is cut in a line": {0, func(t *testing.T, s scene) {
+			s.w.Bytes <- s.drain[:20]
+			close(s.w.Lines)
+			again(t, s.g).Lines <- s.drain
+		}},
+		"falls silent": {6 * time.Second, func(t *testing.T, s scene) { again(t, s.g).Lines <- s.drain }},
+		"moves":        {0, func(t *testing.T, s scene) { s.reload(s.moved.Addr); <-s.moved.Asked; s.moved.Whole <- s.whole }},
+		"moves twice": {0, func(t *testing.T, s scene) {
+			s.reload("127.0.0.1:1")
+			s.reload(s.moved.Addr)
+			<-s.moved.Asked
+			s.moved.Whole <- s.whole
+		}},
+		"moves, then drain": {0, func(t *testing.T, s scene) {
+			s.reload(s.moved.Addr)
+			<-s.moved.Asked
+			s.moved.Whole <- strings.Replace(s.whole, `"hosts":[`, `"hosts":[`+peertest.HostText("s-1", "127.0.0.1:1", "up", 0)+",", 1)
+			again(t, s.moved).Lines <- strings.Replace(s.drain, `"seq":2`, `"seq":10`, 1)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			var last time.Time // when something was sent to the one that drains
+			a := peertest.NewUpstream(t, func(peertest.Received) (string, bool) {
+				mu.Lock()
+				last = time.Now()
+				mu.Unlock()
+				return peertest.Answer200("a"), false
+			})
+			b := peertest.NewUpstream(t, peertest.Always(peertest.Answer200("b")))
+			s := scene{g: peertest.NewRegistry(t), moved: peertest.NewRegistry(t)}
+			s.drain = peertest.ListText(2, false, peertest.HostText("s-1", a.Addr, "draining", 0))
+			s.whole = peertest.ListText(2, true, peertest.HostText("s-2", b.Addr, "up", 0))
+			c := testConfig(t, options{}, s.g.Addr, peertest.HostText("s-1", a.Addr, "up", 0), peertest.HostText("s-2", b.Addr, "up", 0))
+			c.path = filepath.Join(t.TempDir(), "config.json")
+			reload := make(chan os.Signal)
+			s.reload = func(discovery string) {
+				text := fmt.Sprintf(`{"discovery":%q,"seed":"1","settings":%s}`, discovery, fmt.Sprintf(testSettings, false, 500, "push"))
+				if err := os.WriteFile(c.path, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				reload <- syscall.SIGHUP
+			}
+			addr, _, _ := startReloadable(t, c, reload)
+			s.w = peertest.Await(t, "the watch", s.g.Watches)
+			over, done := make(chan struct{}), make(chan struct{})
+			go func() { // a client that asks on and on
+				defer close(done)
+				for i := 0; ; i++ {
+					select {
+					case <-over:
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+					if got := (peertest.Call{Class: "once", ID: fmt.Sprint(i)}).Do(t, addr); got.Status != 200 {
+						t.Errorf("request %d: %+v", i, got)
+					}
+					for _, u := range []*peertest.Upstream{a, b} {
+						for len(u.Requests) > 0 {
+							<-u.Requests
+						}
+					}
+				}
+			}()
+			begun := time.Now()
+			become.fate(t, s)
+			told := time.Now()
+			if become.told > 0 && begun.Add(become.told).Before(told) {
+				t.Errorf("it was asked for only %v after it had fallen silent", told.Sub(begun))
+			}
+			time.Sleep(500 * time.Millisecond) // far within the grace
+			mu.Lock()
+			until := last
+			mu.Unlock()
+			if until.Sub(told) > grace/5 {
+				t.Errorf("still sent to %v after it was told", until.Sub(told))
+			}
+			close(over)
+			<-done
+		})
+	}
+}
+
+// A request may come byte by byte.
+func TestRequestByteByByte(t *testing.T) {
+	u := peertest.NewUpstream(t, peertest.Always(peertest.Answer200("ok")))
+	addr, _, _ := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", peertest.HostText("s-1", u.Addr, "up", 0)))
+	c := dial(t, addr)
+	for i := range 3 { // on a kept connection too
+		for _, b := range []byte(rawHead(fmt.Sprint(i)) + "Content-Length: 4\r\n\r\nabcd") {
+			if _, err := c.Write([]byte{b}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if status, last := c.answer(); status != 200 || last {
+			t.Fatalf("request %d: %d, last %v", i, status, last)
+		}
+		if r := peertest.Await(t, "the request", u.Requests); r.Text != "abcd" {
+			t.Errorf("the upstream read %q", r.Text)
+		}
+	}
+}
--- a/internal/transport/httpnode/transport_test.go
+++ b/internal/transport/httpnode/transport_test.go
@@ -371,7 +371,7 @@
 // What comes behind a good answer and belongs to no request, even a little
 // later, must not be taken for the next one's answer.
 func TestExcessIsNoAnswer(t *testing.T) {
-	for name, behind := range map[string]string{"in the same write": peertest.Answer200("stale"), "later": "", "some milliseconds later": ""} {
+	for name, behind := range map[string]string{"in the same write": peertest.Answer200("stale"), "later": "", "half a line": "", "some milliseconds later": ""} {
 		t.Run(name, func(t *testing.T) {
 			u := peertest.NewUpstream(t, func(r peertest.Received) (string, bool) { return peertest.Answer200("good") + behind, false })
 			p, to := testPool(4), &peer{addr: u.Addr}
@@ -384,6 +384,8 @@
 				switch name {
 				case "later":
 					io.WriteString(r.Conn, peertest.Answer200("stale"))
+				case "half a line":
+					io.WriteString(r.Conn, "HTTP/1.1 2")
 				case "some milliseconds later":
 					to.pace = quick // the next one waits until this connection has rested
 					time.AfterFunc(5*time.Millisecond, func() { io.WriteString(r.Conn, peertest.Answer200("stale")) })
