Count the time of a request that waited behind another on its connection

Seen in reading, then in a test: a request that came 0.3 s before the answer of the one in front of it was told 0.584 s of its 0.6 s, and its time-out was answered 0.898 s after it had come: its time began when its header was parsed.

Change: it begins when the connection was read last. The look ahead at a connection takes no buffer where nothing comes.

--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -193,7 +193,8 @@
 // read takes a request in, or says why it is rejected. It reads no body before
 // all else is known to be right.
 func (s *Front) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*core.Request, *rejection) {
-	arrival := time.Now()
+	now := time.Now()
+	arrival := c.arrival(now)
 	bad := func(text string) (*core.Request, *rejection) { return nil, &rejection{http.StatusBadRequest, text} }
 	h := hr.Header
 	http1.DropHopByHop(h) // first of all: a field that is needed below may not go on if it is named as a hop's own
@@ -244,7 +245,7 @@
 	if s.core.Holds(name) {
 		return nil, &rejection{http.StatusConflict, "a request of this Request-Id is held"}
 	}
-	body, err := readRequestBody(w, hr, c.bodyBy(arrival))
+	body, err := readRequestBody(w, hr, c.bodyBy(now))
 	if err != nil {
 		return bad("the body was not whole in time")
 	}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -29,6 +29,7 @@
 	*net.TCPConn
 	accepted time.Time
 	closed   func(*clientConn) // hears of its end, once
+	came     atomic.Int64      // after accepted, in ns: when something was read from it last
 	heard    atomic.Bool       // something was read from it
 	gone     atomic.Bool       // its client has closed it
 	active   atomic.Bool       // net/http answers a request of it
@@ -82,6 +83,7 @@
 	}
 	if n > 0 {
 		c.heard.Store(true)
+		c.came.Store(int64(time.Since(c.accepted)))
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.gone.Store(true)
@@ -92,13 +94,20 @@
 // watch is the read ahead of net/http: it ends with a byte once net/http calls it
 // back by a deadline, or with the error that says that the client has left.
 func (c *clientConn) watch(b []byte) (int, error) {
+	if len(c.ahead) == 0 { // mostly nothing comes
+		n, err := c.read(b)
+		if n == 0 {
+			return n, err
+		}
+		c.ahead = append(c.ahead, b[0])
+	}
 	for len(c.ahead) < aheadMost {
 		var more [1 << 10]byte
 		n, err := c.read(more[:min(len(more), aheadMost-len(c.ahead))])
 		c.ahead = append(c.ahead, more[:n]...)
 		switch {
 		case err == nil:
-		case c.gone.Load() || len(c.ahead) == 0:
+		case c.gone.Load():
 			return 0, err
 		default:
 			return c.first(b), nil
@@ -119,6 +128,15 @@
 // attempt, where the watch may not have been heard yet.
 func (c *clientConn) left() bool { return c.gone.Load() || sockets.Left(c.TCPConn) }
 
+// arrival is when the request had come whose header was just read: one that was
+// behind another has waited, and its client counts that.
+func (c *clientConn) arrival(now time.Time) time.Time {
+	if came := c.accepted.Add(time.Duration(c.came.Load())); came.Before(now) && c.came.Load() > 0 {
+		return came
+	}
+	return now
+}
+
 // bodyBy is until when the body must have come of the request whose header was
 // just read. The first one's budget counts from connecting: a client that stops
 // in the middle of a request does not hold its connection for longer.
--- a/internal/sidecar/crossings_test.go
+++ b/internal/sidecar/crossings_test.go
@@ -566,3 +566,27 @@
 		}
 	}
 }
+
+// A request behind another on its connection has waited for that one's answer, and
+// its client counts the time: it is answered by then, and told what is left.
+func TestTimeOfARequestBehindAnother(t *testing.T) {
+	g := newGate(t)
+	addr, _, _ := startSidecar(t, testConfig(t, options{}, "127.0.0.1:1", peertest.HostText("s-1", g.Addr, "up", 0)))
+	c := dial(t, addr)
+	c.ask("first")
+	begun := time.Now()
+	if err := (peertest.Call{Class: "once", ID: "second", Timeout: "0.6"}).Request(t, "x").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	peertest.Await(t, "the first", g.Requests)
+	time.Sleep(time.Until(begun.Add(300 * time.Millisecond)))
+	g.pass <- peertest.Answer200("ok")
+	c.answer()
+	r := peertest.Await(t, "the second", g.Requests)
+	if left, ok := parseSeconds(r.Header.Get("Request-Timeout")); !ok || left > 300*time.Millisecond {
+		t.Errorf("the second is told %v, of 0.6 s that began 0.3 s ago", left)
+	}
+	if status, _ := c.answer(); status != http.StatusGatewayTimeout || time.Since(begun) > 600*time.Millisecond+margin/2 {
+		t.Errorf("got %d after %v, want 504 within 0.6 s", status, time.Since(begun))
+	}
+}
