--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -1,10 +1,14 @@
 package httpfront
 
 import (
+	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"mothridge/internal/core"
 	"mothridge/internal/peers/peertest"
@@ -122,3 +126,96 @@
 		t.Error(err)
 	}
 }
+
+// Nothing that comes once a connection has been shut reaches net/http, and so nothing
+// of it can be taken.
+func TestNothingIsReadAfterTheShutdown(t *testing.T) {
+	ln := peertest.Listen(t)
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	nc, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	c := &clientConn{TCPConn: nc.(*net.TCPConn), accepted: time.Now(), closed: func(*clientConn) { close(ended) }}
+	read := make(chan error, 1)
+	go func() { // it waits for the next request as the connection is shut
+		n, err := c.Read(make([]byte, 4<<10))
+		if n > 0 {
+			t.Errorf("read %d bytes", n)
+		}
+		read <- err
+	}()
+	c.closeIdle(endIn)
+	peertest.Call{Class: "once"}.Request(t, "x").Write(peer)
+	if err := peertest.Await(t, "the end of the read", read); err == nil {
+		t.Error("a read after the shutdown brought no error")
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("a further one: %d bytes, error %v", n, err)
+	}
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) { // net/http sets deadlines of its own meanwhile
+		c.SetReadDeadline(time.Now().Add(time.Hour))
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		if time.Since(begun) > 8*endIn {
+			t.Fatal("it was read on from for longer than its bound")
+		}
+	}
+}
+
+// One connection makes way for each that waits, also while it is still read on from.
+func TestOneMakesWayForEach(t *testing.T) {
+	ln, k := peertest.Listen(t), &holding{taken: make(chan string, 100), pass: make(chan struct{})}
+	config := testConfig
+	config.Connections = 20
+	s := New(config, k, ln)
+	go s.Serve()
+	t.Cleanup(func() { s.server.Close() })
+	dial := func(id string) net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		peertest.Call{Class: "once", ID: id}.Request(t, "x").Write(c)
+		peertest.Await(t, "the request", k.taken)
+		return c
+	}
+	var idle []net.Conn
+	for i := range 6 {
+		c := dial(string(rune('a' + i)))
+		k.pass <- struct{}{}
+		if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+			t.Fatal(err)
+		}
+		idle = append(idle, c)
+	}
+	for i := range 14 {
+		dial(string(rune('g' + i)))
+	}
+	peertest.Until(t, "the first to make way", func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		return len(s.listener.idle) == 5
+	})
+	k.pass <- struct{}{} // one more becomes idle meanwhile
+	closed := 0
+	for _, c := range idle {
+		c.SetReadDeadline(time.Now().Add(3 * pressedIn))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			closed++
+		}
+	}
+	if closed != 1 {
+		t.Errorf("%d idle connections were closed for one that waits", closed)
+	}
+	close(k.pass)
+}
