--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -161,13 +161,13 @@
 	if err := peertest.Await(t, "the end of the read", read); err == nil {
 		t.Error("a read after the shutdown brought no error")
 	}
-	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
-		t.Errorf("a further one: %d bytes, error %v", n, err)
-	}
 	select {
 	case <-ended:
 	case <-time.After(8 * endIn):
-		t.Error("it was read on from for longer than its bound")
+		t.Fatal("it was read on from for longer than its bound")
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Errorf("a further one: %d bytes, error %v", n, err)
 	}
 }
 
