Take request bodies in chunks: their length is certain unless a head names two

Cause: framing() rejected every Transfer-Encoding, as net/http drops the Content-Length beside one and does not tell, and a head with both may hide a request.

Change: http1.Framing follows the bytes of a connection and notes of each head whether it names one length or both; with both, nothing behind it counts. OPTIONS * comes to the handler too, so that each head's verdict is taken in its turn.

--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -81,7 +81,9 @@
 		ReadHeaderTimeout: readHeaderIn,
 		IdleTimeout:       idleClient,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+		// Every request comes to the handler, which asks Framing for each in turn.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
 	return s
 }
@@ -107,7 +109,7 @@
 }
 
 func (s *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	if wrong := framing(hr); wrong != nil {
+	if wrong := framing(hr, hr.Context().Value(connKey{}).(*clientConn).framing.Next()); wrong != nil {
 		s.rejected.Add(1)
 		reject(w, hr, wrong)
 		return
@@ -174,16 +176,14 @@
 	io.CopyN(io.Discard, hr.Body, http1.MaxBody)
 }
 
-// framing rejects a request whose length is not certain.
-// net/http drops the Content-Length beside a Transfer-Encoding: two readers of
-// such a request may see it end in two places, and what stands between them in
-// one's body is the other's next request. None of it may go on.
-func framing(hr *http.Request) *rejection {
+// framing rejects a request whose length is not certain: see http1.Framing. None
+// of it may go on.
+func framing(hr *http.Request, certain bool) *rejection {
 	switch {
 	case !hr.ProtoAtLeast(1, 1): // there net/http drops a Transfer-Encoding in silence
 		return &rejection{http.StatusHTTPVersionNotSupported, "version 1.1 is spoken here"}
-	case len(hr.TransferEncoding) > 0:
-		return &rejection{http.StatusLengthRequired, "one Content-Length is needed, and no Transfer-Encoding"}
+	case len(hr.TransferEncoding) > 0 && !certain:
+		return &rejection{http.StatusLengthRequired, "a Content-Length or a Transfer-Encoding is needed, and not both"}
 	case hr.ContentLength > http1.MaxBody:
 		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of %d bytes, %d at most", hr.ContentLength, http1.MaxBody)}
 	}
@@ -246,8 +246,13 @@
 		return nil, &rejection{http.StatusConflict, "a request of this Request-Id is held"}
 	}
 	body, err := readRequestBody(w, hr, c.bodyBy(now))
-	if err != nil {
+	switch {
+	case err != nil:
 		return bad("the body was not whole in time")
+	case len(body) > http1.MaxBody:
+		return nil, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("a body of over %d bytes", http1.MaxBody)}
+	case effect == policy.Safe && len(body) > 0:
+		return bad("requests of a class that is safe to repeat have no body")
 	}
 	return &core.Request{
 		ID: name, Class: class, Tenant: tenant, Repeat: h.Get("Client-Retry") == "1", Work: workHint(h),
@@ -288,14 +293,20 @@
 	return time.Duration(min(us, float64(maxTimeout.Microseconds())) * float64(time.Microsecond))
 }
 
-// readRequestBody reads a body of a known length.
+// readRequestBody reads a body, or one byte more than it may have.
 func readRequestBody(w http.ResponseWriter, hr *http.Request, by time.Time) ([]byte, error) {
 	if hr.ContentLength == 0 {
 		return nil, nil
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(by)
-	body, err := http1.ReadExactly(hr.Body, hr.ContentLength)
+	var body []byte
+	var err error
+	if hr.ContentLength < 0 { // in chunks
+		body, err = io.ReadAll(io.LimitReader(hr.Body, http1.MaxBody+1))
+	} else {
+		body, err = http1.ReadExactly(hr.Body, hr.ContentLength)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -35,6 +35,7 @@
 	active   atomic.Bool       // net/http answers a request of it
 	flooded  atomic.Bool       // more than aheadMost came behind a request
 	state    atomic.Int32
+	framing  http1.Framing
 	deadline sync.Mutex  // held to set one, or to begin the end
 	ending   atomic.Bool // nothing that is read from now on counts
 	requests int         // whose headers were read; net/http serves one at a time
@@ -82,6 +83,7 @@
 		return 0, net.ErrClosed
 	}
 	if n > 0 {
+		c.framing.Feed(b[:n])
 		c.heard.Store(true)
 		c.came.Store(int64(time.Since(c.accepted)))
 	}
