Serve answers in chunks: they are whole with their last chunk

Ruled out: requests cut off (none any more), the upstreams' own errors.

Cause: readBody took no Transfer-Encoding, as net/http hides a Content-Length beside it. So each such answer failed as one that may have run, and was asked for again or failed to the client.

Change: http1.Framing follows the answers too; chunks are read up to the last, 1 MiB at most, where the head names no second length. An answer that ends with its connection still is a failed attempt: it may have been cut.

--- a/internal/transport/httpnode/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"mothridge/internal/http1"
 	"mothridge/internal/sockets"
 )
 
@@ -32,6 +33,7 @@
 	peer  *peer
 	limit io.LimitedReader // bounds what one answer may bring
 	r     *bufio.Reader    // reads through limit
+	heads http1.Framing    // of the answers
 	out   bytes.Buffer     // a request is gathered here, so that it goes out in one write
 	taken time.Time        // when it was last given out
 	idle  time.Time        // since when it has been idle
@@ -145,11 +147,24 @@
 		return nil, err
 	}
 	p.dials.Add(1)
-	c := &conn{Conn: nc, peer: to, limit: io.LimitedReader{R: nc}, taken: time.Now()}
+	c := &conn{Conn: nc, peer: to, taken: time.Now()}
+	c.limit.R = followed{nc, &c.heads}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
 
+// followed shows what is read to a Framing.
+type followed struct {
+	io.Reader
+	heads *http1.Framing
+}
+
+func (f followed) Read(b []byte) (int, error) {
+	n, err := f.Reader.Read(b)
+	f.heads.Feed(b[:n])
+	return n, err
+}
+
 // acquire takes a slot; where none is free it closes the connection that has
 // been idle longest, or waits.
 func (p *pool) acquire(ctx context.Context) error {
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -153,10 +154,12 @@
 	if n, err := c.Write(c.out.Bytes()); n < c.out.Len() {
 		return nil, nil, false, fmt.Errorf("write request: %w", err)
 	}
+	certain := false
 	for informational := 0; ; informational++ {
 		if resp, err = http.ReadResponse(c.r, nil); err != nil {
 			return nil, nil, true, fmt.Errorf("read answer: %w", err)
 		}
+		certain = c.heads.Next()
 		if resp.StatusCode >= 200 {
 			break
 		}
@@ -167,20 +170,26 @@
 	c.limit.N = maxAnswerBody
 	// The body is not closed: that would read on in one that is too large. What
 	// is not read to its end ends with its connection.
-	if body, err = readBody(resp); err != nil {
+	if body, err = readBody(resp, certain); err != nil {
 		return nil, nil, true, fmt.Errorf("read answer: %w", err)
 	}
 	return resp, body, true, nil
 }
 
-// readBody reads an answer's body if the answer proves to be whole: by one
-// valid length of its own. net/http drops a Content-Length beside a
-// Transfer-Encoding, and the two may name different ends; a body that ends with
-// its connection may have been cut anywhere.
-func readBody(resp *http.Response) ([]byte, error) {
+// readBody reads an answer's body if the answer proves to be whole: by one valid
+// length of its own, or by chunks up to the last. A head with both may name two
+// ends (see http1.Framing); a body that ends with its connection may have been cut
+// anywhere.
+func readBody(resp *http.Response, certain bool) ([]byte, error) {
 	switch n := resp.ContentLength; {
+	case len(resp.TransferEncoding) > 0 && certain:
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBody+1))
+		if err == nil && len(body) > maxAnswerBody {
+			err = errors.New("body too large")
+		}
+		return body, err
 	case len(resp.TransferEncoding) > 0 || n < 0:
-		return nil, errors.New("no length")
+		return nil, errors.New("no length, or two")
 	case n > maxAnswerBody:
 		return nil, errors.New("body too large")
 	}
