Write the log from a goroutine of its own, bounded, with losses counted

Cause: slog's handlers write under a lock and on whatever goroutine logs: the core's loop (the minute's counters), Serve's (reload, stop). With standard error a full pipe each waits for ever; with its reader gone Go ends the process, as os.File passes on EPIPE of descriptor 2 as SIGPIPE (os.epipecheck).

Change: internal/logsink queues up to 64 KiB of whole lines for one goroutine; what is beyond, or fails to be written, is lost and counted, told once a write succeeds again ('log lines lost lines=N') and as mothridge_log_lines_lost_total. SIGPIPE is ignored. The end of the program waits 0.1 s for its last lines.

The same mistake elsewhere: goroutines that send to the core's loop after it had ended waited for ever (a merger among them, which Serve waits for at shutdown): Core.post gives up once Run has returned.

--- a/cmd/mothridge/commands.go
+++ b/cmd/mothridge/commands.go
@@ -41,9 +41,9 @@
 		return err
 	}
 	o := &slog.HandlerOptions{Level: level}
-	var h slog.Handler = slog.NewTextHandler(os.Stderr, o)
+	var h slog.Handler = slog.NewTextHandler(standardError, o)
 	if c.LogFormat == "json" {
-		h = slog.NewJSONHandler(os.Stderr, o)
+		h = slog.NewJSONHandler(standardError, o)
 	}
 	slog.SetDefault(slog.New(h))
 	return run(c.Operator)
--- a/cmd/mothridge/main.go
+++ b/cmd/mothridge/main.go
@@ -13,13 +13,18 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"mothridge/internal/logsink"
 	"mothridge/internal/operator"
 	"mothridge/internal/sidecar"
 )
 
 func main() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	// A log that cannot be written must not end the program.
+	signal.Ignore(syscall.SIGPIPE)
+	slog.SetDefault(slog.New(slog.NewTextHandler(standardError, nil)))
+	defer standardError.Flush(lastLinesIn)
 	var err error
 	if len(os.Args) == 1 {
 		err = run("") // the platform's way: nothing of the command line is set up
@@ -31,13 +36,22 @@
 	}
 	var mistakes *operator.Mistakes
 	if errors.As(err, &mistakes) {
-		fmt.Fprintln(os.Stderr, mistakes) // each begins with its place
+		fmt.Fprintln(standardError, mistakes) // each begins with its place
 	} else {
-		fmt.Fprintln(os.Stderr, "mothridge:", err)
+		fmt.Fprintln(standardError, "mothridge:", err)
 	}
+	standardError.Flush(lastLinesIn)
 	os.Exit(1)
 }
 
+// lastLinesIn is how long the last lines of the log may take as the program ends.
+const lastLinesIn = 100 * time.Millisecond
+
+// standardError takes the log, and what a failed command says.
+var standardError = logsink.New(os.Stderr, logsink.DefaultLimit, func(lines uint64) {
+	slog.Warn("log lines lost", "lines", lines)
+})
+
 // run runs the sidecar until SIGTERM. operators names their file; empty: there is none.
 func run(operators string) error {
 	stop, done := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -50,6 +64,7 @@
 		return err
 	}
 	fit(c.Limits)
+	c.LogLost = standardError.Lost
 	return sidecar.Run(stop, reload, c)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"net/netip"
@@ -102,6 +103,7 @@
 	local  []any // events that the loop makes itself
 	ready  atomic.Bool
 	asks   chan struct{} // the module wants to subscribe to the list
+	over   chan struct{} // closed once Run has returned: events wait for nobody then
 
 	begin time.Time
 	now   time.Duration // the module's clock at the event under way
@@ -128,7 +130,7 @@
 func New(c Config) (*Core, error) {
 	l := &Core{
 		config: c, begin: time.Now(),
-		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), timer: time.NewTimer(time.Hour),
+		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), over: make(chan struct{}), timer: time.NewTimer(time.Hour),
 		requests: make(map[policy.RequestID]*Request), names: names{held: make(map[string]bool)},
 		hosts: make(map[string]*host), byID: make(map[policy.ServerID]*host), sites: make(map[string]int),
 	}
@@ -157,21 +159,30 @@
 	return time.Duration(l.begin.UnixNano()) + time.Since(l.begin)
 }
 
+// post passes an event to the loop. It waits while the loop is behind, and for
+// nothing once that has ended.
+func (l *Core) post(e any) {
+	select {
+	case l.events <- e:
+	case <-l.over:
+	}
+}
+
 // Submit takes a request on: Reply is called exactly once, unless Abandon is
 // called before. It waits while the core is behind.
-func (l *Core) Submit(r *Request) { l.events <- arrived{r} }
+func (l *Core) Submit(r *Request) { l.post(arrived{r}) }
 
 // Abandon says that the client of a request has gone; Reply may still have been called.
-func (l *Core) Abandon(r *Request) { l.events <- left{r} }
+func (l *Core) Abandon(r *Request) { l.post(left{r}) }
 
 // Quit answers all that is held now, and refuses whatever still comes.
-func (l *Core) Quit() { l.events <- quit{} }
+func (l *Core) Quit() { l.post(quit{}) }
 
 // Update passes news of the list on.
-func (l *Core) Update(n News) { l.events <- listed{n} }
+func (l *Core) Update(n News) { l.post(listed{n}) }
 
 // UpdateFailed says that a call for the list failed or its watch ended.
-func (l *Core) UpdateFailed() { l.events <- listFailed{} }
+func (l *Core) UpdateFailed() { l.post(listFailed{}) }
 
 // Asks brings the module's calls for the list, where that is its to ask.
 func (l *Core) Asks() <-chan struct{} { return l.asks }
@@ -196,12 +207,16 @@
 	state := make(chan State, 1)
 	select {
 	case l.events <- looked{state}:
+	case <-l.over:
+		return State{}, errEnded
 	case <-ctx.Done():
 		return State{}, ctx.Err()
 	}
 	select {
 	case s := <-state:
 		return s, nil
+	case <-l.over:
+		return State{}, errEnded
 	case <-ctx.Done():
 		return State{}, ctx.Err()
 	}
@@ -222,8 +237,11 @@
 	slog.Info("counters", attrs...)
 }
 
+var errEnded = errors.New("the core has ended")
+
 // Run handles events until ctx ends.
 func (l *Core) Run(ctx context.Context) {
+	defer close(l.over)
 	logTick := time.NewTicker(logEvery)
 	defer logTick.Stop()
 	for {
@@ -484,7 +502,7 @@
 	go func() {
 		defer a.cancel()
 		ending, ans := node.Try(a.ctx, &m)
-		l.events <- ended{a, ending, ans}
+		l.post(ended{a, ending, ans})
 	}()
 }
 
@@ -526,7 +544,7 @@
 	node := h.node
 	go func() {
 		ok, load := node.Probe(context.Background())
-		l.events <- probed{p, ok, load}
+		l.post(probed{p, ok, load})
 	}()
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -28,6 +28,7 @@
 	Known     *platform.Listing // the list of upstreams as last held; nil where there is none
 	Limits    Limits
 	Operator  operator.File // what the operators set; nothing unless their file was named
+	LogLost   func() uint64 // log lines that could not be written; nil: not known
 	path      string        // the file it came from
 
 	Policy      policy.Config
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -50,6 +50,11 @@
 			s.Gauge("queue_free", "Free places in a tenant's queue.", float64(state.QueueFree[i]), "tenant", tenant)
 		}
 	})
+	if c.LogLost != nil {
+		m.Add(func(s *metrics.Show) {
+			s.Count("log_lines_lost_total", "Log lines that could not be written.", float64(c.LogLost()))
+		})
+	}
 	if lists == nil {
 		return
 	}
