Wait failed accepts out on every listener, and hold no local failure against a server

Cause: http.Server.Serve returns at an error of accept that is not Temporary (ENOBUFS, ENOMEM, EPROTO, ENETUNREACH, EHOSTUNREACH), the MessagePack-RPC front at any, and sidecar.Serve then ends the process. A connection that this machine could not open (EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL, ENETUNREACH) ended as NoConnection, which is a strike: in a minute of it every server of the list is held to be unwell, on no evidence. So did waiting in vain for one of our own places.

Change: sockets.PatientListener on all listeners (HTTP, MessagePack-RPC, admin): its Accept fails only once it was closed; pauses 1 to 100 ms, failures counted (front_total failed) and logged every 10 s at most. A connection that is not TCP is closed and passed over. sockets.Local names what is this machine's own: attempts end as NotSent, probes as ProbeNotSent (new in policy), neither a strike. Guards and probes of the decision module have files of their own (guard.go, probe.go).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,11 +15,13 @@
 	"os"
 	"strings"
 	"time"
+
+	"mothridge/internal/sockets"
 )
 
 // Server answers questions; each has a path and an answer that becomes JSON.
 type Server struct {
-	ln     net.Listener
+	ln     *sockets.PatientListener
 	server *http.Server
 }
 
@@ -71,7 +73,7 @@
 	for name, page := range pages {
 		mux.Handle("GET /"+name, page)
 	}
-	s := &Server{ln: ln, server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 8 << 10}}
+	s := &Server{ln: sockets.Patient(ln), server: &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, MaxHeaderBytes: 8 << 10}}
 	return s, nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,8 +25,8 @@
 	}
 	probed struct {
 		probe *probe
-		ok    bool
 		load  policy.Load
+		err   error
 	}
 	listed     struct{ news News }
 	listFailed struct{}
@@ -38,8 +38,8 @@
 type probe struct {
 	host *host
 	done bool
-	ok   bool
 	load policy.Load
+	err  error
 }
 
 // host is an upstream of the list.
@@ -291,7 +291,7 @@
 		l.end(e)
 	case probed:
 		p := e.probe
-		p.done, p.ok, p.load = true, e.ok, e.load
+		p.done, p.load, p.err = true, e.load, e.err
 		l.probesDone(p.host)
 	case listed:
 		kind := policy.ListDelta
@@ -364,7 +364,11 @@
 	for len(h.probes) > 0 && h.probes[0].done {
 		p := h.probes[0]
 		h.probes = h.probes[1:]
-		l.b.Probed(l.now, h.id, p.ok, p.load)
+		if errors.Is(p.err, ErrNotBegun) {
+			l.b.ProbeNotSent(l.now, h.id)
+		} else {
+			l.b.Probed(l.now, h.id, p.err == nil, p.load)
+		}
 	}
 }
 
@@ -543,8 +547,8 @@
 	h.probes = append(h.probes, p)
 	node := h.node
 	go func() {
-		ok, load := node.Probe(context.Background())
-		l.post(probed{p, ok, load})
+		load, err := node.Probe(context.Background())
+		l.post(probed{p, load, err})
 	}()
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -125,8 +125,9 @@
 	// comes with policy.Served and only then. Where the ending says that the
 	// attempt never ran, that must be certain.
 	Try(ctx context.Context, m *Message) (policy.Ending, *Answer)
-	// Probe asks for a sign of life and the load.
-	Probe(ctx context.Context) (bool, policy.Load)
+	// Probe asks for a sign of life and the load. An error that is ErrNotBegun says
+	// that nothing was sent for a reason of this machine; any other is the node's.
+	Probe(ctx context.Context) (policy.Load, error)
 	// Retire says that the process has left or moved: nothing open to it may
 	// serve whoever is at its address next.
 	Retire()
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -59,11 +59,12 @@
 	Taken       uint64 // requests that were given to the core
 	Rejected    uint64 // requests that were wrong
 	Left        uint64 // clients that left before their answer
+	Failed      uint64 // accepts that failed
 }
 
 // Counters returns what was counted so far.
 func (s *Front) Counters() Counters {
-	return Counters{s.listener.accepted.Load(), s.taken.Load(), s.rejected.Load(), s.left.Load()}
+	return Counters{s.listener.accepted.Load(), s.taken.Load(), s.rejected.Load(), s.left.Load(), s.listener.Failures()}
 }
 
 // New makes a Front on a listener; Serve starts it.
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -13,6 +13,7 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/msgrpc"
+	"mothridge/internal/sockets"
 	"mothridge/policy"
 )
 
@@ -60,6 +61,7 @@
 	Repeated    uint64 // requests under a msgid that was open: passed over
 	Malformed   uint64 // messages that could not be read
 	Stalled     uint64 // connections closed because their client did not read
+	Failed      uint64 // accepts that failed
 }
 
 // Front is the MessagePack-RPC side towards the application.
@@ -68,7 +70,7 @@
 	cfg     Config
 	classes map[string]int
 	tenants map[string]int
-	ln      net.Listener
+	ln      *sockets.PatientListener
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -88,7 +90,7 @@
 		c.Held = DefaultHeld
 	}
 	return &Front{
-		core: k, cfg: c, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants), ln: ln,
+		core: k, cfg: c, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants), ln: sockets.Patient(ln),
 		conns: make(map[*conn]struct{}), changed: make(chan struct{}),
 	}
 }
@@ -97,10 +99,11 @@
 func (f *Front) Counters() Counters {
 	return Counters{
 		f.connections.Load(), f.taken.Load(), f.rejected.Load(), f.flooded.Load(), f.repeated.Load(), f.malformed.Load(), f.stalled.Load(),
+		f.ln.Failures(),
 	}
 }
 
-// Serve serves until Shutdown, or returns the listener's error.
+// Serve serves until Shutdown, or returns an error once its listener was closed by another.
 func (f *Front) Serve() error {
 	for {
 		nc, err := f.ln.Accept()
--- a/internal/transport/httpnode/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -43,6 +43,7 @@
 // upstream work and the request time. It also bounds how many are open.
 type pool struct {
 	dialTimeout time.Duration
+	dialer      net.Dialer
 	idleFor     time.Duration // an idle connection is not used for longer than this
 
 	slots chan struct{} // holds one for each connection that is open or being opened
@@ -76,6 +77,7 @@
 func newPool(dialTimeout, connIdle time.Duration, most int) *pool {
 	return &pool{
 		dialTimeout: dialTimeout,
+		dialer:      net.Dialer{KeepAlive: -1},
 		idleFor:     max(connIdle-idleMargin, connIdle/2),
 		slots:       make(chan struct{}, most),
 		kept:        make(map[*peer]bool),
@@ -139,8 +141,7 @@
 	if err := p.acquire(ctx); err != nil {
 		return nil, err
 	}
-	d := net.Dialer{KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", to.addr)
+	nc, err := p.dialer.DialContext(ctx, "tcp", to.addr)
 	if err != nil {
 		<-p.slots
 		p.failed.Add(1)
@@ -189,7 +190,7 @@
 	case p.slots <- struct{}{}:
 		return nil
 	case <-ctx.Done():
-		return errors.Join(errors.New("no free connection slot"), ctx.Err())
+		return errors.Join(sockets.ErrNoRoom, ctx.Err())
 	}
 }
 
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -16,6 +16,7 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/http1"
+	"mothridge/internal/sockets"
 	"mothridge/policy"
 )
 
@@ -78,7 +79,7 @@
 	return n.t.try(ctx, n.to, m)
 }
 
-func (n *node) Probe(ctx context.Context) (bool, policy.Load) { return n.t.probe(ctx, n.to) }
+func (n *node) Probe(ctx context.Context) (policy.Load, error) { return n.t.probe(ctx, n.to) }
 
 func (n *node) Retire() { n.t.pool.retire(n.to) }
 
@@ -100,6 +101,8 @@
 	switch {
 	case err != nil && !wrote && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(err, core.ErrNotBegun) || !m.MayBegin(time.Now())):
 		return policy.NotSent, nil // no word against the upstream: nobody waited for it any more
+	case err != nil && !wrote && sockets.Local(err):
+		return policy.NotSent, nil // nor is what this machine lacks
 	case err != nil && !wrote:
 		return policy.NoConnection, nil
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
@@ -231,23 +234,29 @@
 
 // probe asks an upstream for a sign of life and its load. Without any answer in
 // the time that a connection may take to come up, it has failed.
-func (t *Transport) probe(ctx context.Context, to *peer) (ok bool, load policy.Load) {
-	load.InFlight = -1
+func (t *Transport) probe(ctx context.Context, to *peer) (policy.Load, error) {
+	unknown := policy.Load{InFlight: -1}
 	ctx, cancel := context.WithTimeout(ctx, t.pool.dialTimeout)
 	defer cancel()
 	c, err := t.pool.get(ctx, to)
+	if err != nil && sockets.Local(err) {
+		return unknown, fmt.Errorf("%w: %w", core.ErrNotBegun, err)
+	}
 	if err != nil {
-		return false, load
+		return unknown, err
 	}
 	resp, body, _, err := t.exchange(ctx, c, &core.Message{Method: http.MethodGet, Target: t.statsPath, Host: to.addr})
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return false, load
+	if err != nil {
+		return unknown, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return unknown, fmt.Errorf("probe: status %d", resp.StatusCode)
 	}
 	report := resp.Header.Get("Server-Load")
 	if report == "" {
 		report = string(body[:min(len(body), maxReport)])
 	}
-	return true, policy.Load{InFlight: t.inFlight(report)}
+	return policy.Load{InFlight: t.inFlight(report)}, nil
 }
 
 // inFlight takes the number of requests held out of a report of the form
--- a/internal/transport/rpcnode/transport.go
+++ b/internal/transport/rpcnode/transport.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/msgrpc"
+	"mothridge/internal/sockets"
 	"mothridge/policy"
 )
 
@@ -126,7 +128,7 @@
 
 var (
 	errRetired  = errors.New("the node has left the list")
-	errNoRoom   = errors.New("no room for another connection")
+	errNoRoom   = fmt.Errorf("%w: no room for another connection", sockets.ErrNoRoom)
 	errAllOwing = errors.New("every connection to the node waits for answers that it owes")
 )
 
@@ -142,6 +144,8 @@
 	switch {
 	case r.err != nil && !wrote && (errors.Is(ctx.Err(), context.Canceled) || errors.Is(r.err, core.ErrNotBegun) || !m.MayBegin(time.Now())):
 		return policy.NotSent, nil // no word against the node: nobody waited for it any more
+	case r.err != nil && !wrote && sockets.Local(r.err):
+		return policy.NotSent, nil // nor is what this machine lacks
 	case r.err != nil && !wrote:
 		return policy.NoConnection, nil
 	case r.err != nil && errors.Is(ctx.Err(), context.Canceled):
@@ -159,16 +163,20 @@
 }
 
 // Probe asks for a sign of life and the load.
-func (n *node) Probe(ctx context.Context) (bool, policy.Load) {
-	load := policy.Load{InFlight: -1}
+func (n *node) Probe(ctx context.Context) (policy.Load, error) {
+	unknown := policy.Load{InFlight: -1}
 	ctx, cancel := context.WithTimeout(ctx, n.t.cfg.DialTimeout)
 	defer cancel()
 	r, _ := n.exchange(ctx, nil, func(b []byte, id uint32) []byte { return msgrpc.AppendPlain(b, id, msgrpc.MethodProbe) })
-	if r.err != nil || r.fault != nil {
-		return false, load
+	switch {
+	case r.err != nil && sockets.Local(r.err):
+		return unknown, fmt.Errorf("%w: %w", core.ErrNotBegun, r.err)
+	case r.err != nil:
+		return unknown, r.err
+	case r.fault != nil:
+		return unknown, errors.New("probe: " + r.fault.Kind)
 	}
-	load.InFlight = r.result.InFlight
-	return true, load
+	return policy.Load{InFlight: r.result.InFlight}, nil
 }
 
 // exchange sends one request and waits for its answer. wrote tells whether the
--- a/policy/api.go
+++ b/policy/api.go
@@ -168,7 +168,8 @@
 	Cancel(id RequestID, attempt int)
 	// Wake asks for a call of Balancer.Wake after d.
 	Wake(d time.Duration)
-	// Probe asks a server for a load report; Balancer.Probed brings it.
+	// Probe asks a server for a load report; Balancer.Probed brings it, or
+	// Balancer.ProbeNotSent that nothing was sent.
 	Probe(to ServerID)
 	// WatchList subscribes to the server list; Balancer.List brings changes.
 	WatchList()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // The interface (types, events, actions) is api.go; every decision is here, in
-// this order: start, events, compartments, the gate that all sends pass,
-// server choice, server list, load reports, endings. What is held for or against
-// a server is health.go.
+// this order: start, events, compartments, server choice, server list, endings.
+// The guard that all sends pass is guard.go, probes are probe.go, and what is held
+// for or against a server is health.go.
 
 package policy
 
@@ -249,66 +249,6 @@
 	return s != nil && b.send(now, r, s)
 }
 
-// knock asks the server whose turn it is, and the next, for a sign of life, and
-// holds the request in its slot meanwhile: where own traffic is thin nothing
-// else tells a jammed or silent server from a good one in time.
-func (b *Balancer) knock(now time.Duration, r *request, s *server) bool {
-	r.home.used++
-	r.knocking, r.best, r.unheard = true, nil, 0
-	r.goAt = now + time.Duration(crowdedAt*float64(r.class.Aim)) // no answer by then: crowded
-	for ; s != nil; s = b.pick(now, r) {
-		r.knocked = append(r.knocked, s)
-		s.door = append(s.door, r)
-		b.host.Probe(s.ID)
-		if r.unheard++; r.unheard == knocks {
-			break
-		}
-	}
-	return true
-}
-
-// Probed takes the result of a probe: for its load report, and for the request that knocked.
-func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
-	s := b.known[id]
-	if s != nil && ok && l.InFlight >= 0 {
-		s.toldAt, s.others = now, max(0, l.InFlight-float64(s.out))
-	}
-	if s == nil || len(s.door) == 0 {
-		return
-	}
-	r := s.door[0]
-	s.door = s.door[1:]
-	if !ok { // what is held against it only an answer to a request takes back
-		b.strike(now, s)
-	}
-	if r.knocking {
-		load := (1 + max(0, l.InFlight)) / (s.Weight * b.warmth(now, s))
-		if r.unheard--; ok && (r.best == nil || load < r.bestLoad) {
-			r.best, r.bestLoad, r.goAt = s, load, now
-			if l.InFlight >= 0 { // the other may be less loaded: it gets a moment more
-				r.goAt = now + 2*b.cfg.Tick
-				b.wake(now, 2*b.cfg.Tick)
-			}
-		}
-		if r.unheard == 0 || now >= r.goAt {
-			b.enterBest(now, r)
-		}
-	}
-	b.feed(now)
-}
-
-// enterBest sends a request to the best server that answered its knock; where none did it knocks elsewhere.
-func (b *Balancer) enterBest(now time.Duration, r *request) {
-	r.knocking = false
-	r.home.used--
-	if r.best == nil || now >= r.lateIn() || !b.send(now, r, r.best) {
-		b.further(now, r)
-		return
-	}
-	r.unheard = 0
-	b.count.Knocked++
-}
-
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
 	switch tries := max(len(r.attempts), len(r.knocked)/knocks); {
@@ -337,77 +277,6 @@
 	}
 }
 
-// mayRepeat says whether the class allows an attempt now, on a server or (nil)
-// on some server: what may have run must be dropped there if it comes again.
-func (r *request) mayRepeat(now time.Duration, s *server) bool {
-	first := r.ran()
-	switch {
-	case first == nil || r.class.Effect == Safe:
-		return true
-	case r.class.Effect == Unsafe || now >= first.sent+r.class.Window:
-		return false
-	case s == nil || r.class.Scope == ScopeAll:
-		return true
-	}
-	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
-}
-
-// mayGo is the gate: whether the rules let a request go to a server now.
-func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
-	switch {
-	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
-		return false // rule 1, and the limit on attempts
-	case s.State != Ready:
-		return false // rule 3: at once, long before the grace is over
-	case now < s.warmAt && now < s.coldAt:
-		return false // rule 4
-	case r.out > 0 || !r.mayRepeat(now, s):
-		return false // rule 2: one attempt at a time, and only where it may be repeated
-	}
-	return true
-}
-
-// send is the one place that sends.
-func (b *Balancer) send(now time.Duration, r *request, s *server) bool {
-	if !b.mayGo(now, r, s) {
-		return false
-	}
-	if now < s.warmAt {
-		s.coldAt = now + b.coldGap(now, s)
-	}
-	within := time.Duration(0) // a connection may come up late
-	if first := r.ran(); first != nil && r.class.Effect == Keyed {
-		within = first.sent + r.class.Window - now
-	}
-	r.attempts = append(r.attempts, attempt{to: s, sent: now})
-	r.out++
-	s.out++
-	r.home.used++
-	if len(r.attempts) > 1 {
-		b.count.Retries++
-	}
-	b.host.Send(r.id, s.ID, r.useful-now, within)
-	return true
-}
-
-// coldGap spaces sends to a cold server so that all balancers together stay
-// well within its budget: each keeps an even part, whatever traffic it has.
-func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
-	// The quotas are close to what all servers can do; without them one answer at a time is the guide.
-	rate := b.quota * s.Weight / max(b.weight, s.Weight)
-	if b.quota == 0 {
-		rate = s.Weight * float64(max(1, b.ready)) / max(b.weight, s.Weight) / b.pace.Seconds()
-	}
-	rate *= coldPart * max(b.cfg.ColdMultiple, 1) * b.warmth(now, s) / float64(b.cfg.Balancers)
-	return time.Duration(min(float64(time.Second)/rate, float64(time.Hour)))
-}
-
-// warmth is the share of its capacity that a server has at least.
-func (b *Balancer) warmth(now time.Duration, s *server) float64 {
-	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
-	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
-}
-
 // pick is smooth weighted round robin over the ready servers, first those of the own zone where crossing
 // has a price, and of these a drawn half where traffic is thin (connections cost). A server loses its
 // turn while it holds its portion of our attempts (an inner wall), while it is judged unwell, but for a
@@ -529,16 +398,6 @@
 	b.host.WatchList()
 }
 
-// probe asks the next server for a load report, as often as requests pay for it.
-func (b *Balancer) probe() {
-	b.probes++
-	if n := len(b.servers); b.cfg.Reports && !b.thin && b.probes%probeEvery == 0 && n > 0 {
-		if s := b.servers[b.probes/probeEvery%n]; s.State == Ready {
-			b.host.Probe(s.ID)
-		}
-	}
-}
-
 // finish is the one place that answers: refused where that is true, failed where it is not.
 func (b *Balancer) finish(r *request) {
 	if r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
