Give a client's request one budget from its first byte, and close none that has begun

Cause: net/http's ReadHeaderTimeout counts from the fourth byte of a request (bufr.Peek(4) under the idle deadline) and the body's budget counted from the head's end: 1.9 s + 2.5 s. It calls a connection idle until the head is whole, so that its idle deadline, a drain and the bound on idle connections all closed connections with part of a request read from them.

Change: clientConn notes the first byte in the same moment as it reads it (a lock round the non-blocking read) and sets the one deadline; net/http's later ones cannot move it. closeIdle shuts the connection in one moment with looking whether a request has begun. closeUntaken, for those that others wait for, ends unfinished ones too.

--- a/internal/front/httpfront/budget_test.go
+++ b/internal/front/httpfront/budget_test.go
@@ -83,3 +83,24 @@
 		})
 	}
 }
+
+// A drain closes connections between requests, and none on which one has begun: that
+// is answered, and told that it is the last.
+func TestDrainAnswersARequestThatHasBegun(t *testing.T) {
+	s := New(testConfig, &serving{}, peertest.Listen(t))
+	go s.Serve()
+	t.Cleanup(func() { s.server.Close() })
+	c, in := keptConn(t, s.listener.Addr().String())
+	text := requestText(t, "begun")
+	c.Write(text[:40])
+	peertest.Until(t, "its first bytes", func() bool {
+		s.listener.mu.Lock()
+		defer s.listener.mu.Unlock()
+		return len(s.listener.idle) == 1 && s.listener.idle[0].framing.Pending()
+	})
+	s.Drain()
+	c.Write(text[40:])
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("got %v, error %v; want 200 and word that it is the last", resp, err)
+	}
+}
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -25,12 +25,13 @@
 	maxName    = 256 // bytes of a Request-Id
 	maxHeader  = 16 << 10
 
-	// Connections are few, and a client is owed a word within 3 s of connecting.
-	readHeaderIn = 2 * time.Second
-	requestIn    = 2500 * time.Millisecond // header and body
-	idleClient   = 2 * time.Second         // between requests; clients need those back that they leave idle
-	writeAfter   = time.Second             // the time at which the client gives up
-	lingerIn     = 250 * time.Millisecond  // for the rest of a body that is not taken
+	// Connections are few. A client that says nothing is sent away, and one that stops
+	// in the middle of a request is owed a word within 3 s of its first byte.
+	silentIn   = 2 * time.Second         // from connecting to the first byte
+	requestIn  = 2500 * time.Millisecond // from a request's first byte to its last
+	idleClient = 2 * time.Second         // between requests; clients need those back that they leave idle
+	writeAfter = time.Second             // the time at which the client gives up
+	lingerIn   = 250 * time.Millisecond  // for the rest of a body that is not taken
 )
 
 // Config is what a Front keeps to.
@@ -79,7 +80,7 @@
 		Handler:           s,
 		ConnState:         s.listener.track,
 		ConnContext:       withConn,
-		ReadHeaderTimeout: readHeaderIn,
+		ReadHeaderTimeout: silentIn,
 		IdleTimeout:       idleClient,
 		MaxHeaderBytes:    maxHeader,
 		// Every request comes to the handler, which asks Framing for each in turn.
@@ -115,7 +116,9 @@
 		reject(w, hr, wrong)
 		return
 	}
+	c := hr.Context().Value(connKey{}).(*clientConn)
 	if hr.URL.Path == "/health/ready" {
+		c.whole()
 		status := http.StatusOK
 		if !s.core.Ready() || s.listener.isDraining() {
 			status = http.StatusServiceUnavailable
@@ -123,10 +126,8 @@
 		w.WriteHeader(status)
 		return
 	}
-	c := hr.Context().Value(connKey{}).(*clientConn)
-	c.requests++
 	answers := make(chan core.Answer, 1) // never blocks the core
-	r, wrong := s.read(w, hr, c)
+	r, wrong := s.read(hr, c)
 	if wrong != nil {
 		s.rejected.Add(1)
 		reject(w, hr, wrong)
@@ -170,10 +171,10 @@
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	w.WriteHeader(why.status)
 	io.WriteString(w, text)
-	rc := http.NewResponseController(w)
-	rc.Flush()
-	hr.Context().Value(connKey{}).(*clientConn).CloseWrite()
-	rc.SetReadDeadline(time.Now().Add(lingerIn))
+	http.NewResponseController(w).Flush()
+	c := hr.Context().Value(connKey{}).(*clientConn)
+	c.CloseWrite()
+	c.cutShort(lingerIn)
 	io.CopyN(io.Discard, hr.Body, http1.MaxBody)
 }
 
@@ -193,7 +194,7 @@
 
 // read takes a request in, or says why it is rejected. It reads no body before
 // all else is known to be right.
-func (s *Front) read(w http.ResponseWriter, hr *http.Request, c *clientConn) (*core.Request, *rejection) {
+func (s *Front) read(hr *http.Request, c *clientConn) (*core.Request, *rejection) {
 	now := time.Now()
 	arrival := c.arrival(now)
 	bad := func(text string) (*core.Request, *rejection) { return nil, &rejection{http.StatusBadRequest, text} }
@@ -246,7 +247,7 @@
 	if s.core.Holds(name) {
 		return nil, &rejection{http.StatusConflict, "a request of this Request-Id is held"}
 	}
-	body, err := readRequestBody(w, hr, c.bodyBy(now))
+	body, err := readRequestBody(hr)
 	switch {
 	case err != nil:
 		return bad("the body was not whole in time")
@@ -295,24 +296,14 @@
 }
 
 // readRequestBody reads a body, or one byte more than it may have.
-func readRequestBody(w http.ResponseWriter, hr *http.Request, by time.Time) ([]byte, error) {
-	if hr.ContentLength == 0 {
+func readRequestBody(hr *http.Request) ([]byte, error) {
+	switch {
+	case hr.ContentLength == 0:
 		return nil, nil
+	case hr.ContentLength < 0: // in chunks
+		return io.ReadAll(io.LimitReader(hr.Body, http1.MaxBody+1))
 	}
-	rc := http.NewResponseController(w)
-	rc.SetReadDeadline(by)
-	var body []byte
-	var err error
-	if hr.ContentLength < 0 { // in chunks
-		body, err = io.ReadAll(io.LimitReader(hr.Body, http1.MaxBody+1))
-	} else {
-		body, err = http1.ReadExactly(hr.Body, hr.ContentLength)
-	}
-	if err != nil {
-		return nil, err
-	}
-	rc.SetReadDeadline(time.Time{})
-	return body, nil
+	return http1.ReadExactly(hr.Body, hr.ContentLength)
 }
 
 // statuses are those of the verdicts. 429 and 503 stand for a refusal alone.
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -58,7 +58,7 @@
 		t.Error("a request of an open connection was not taken")
 	}
 	open.closeIdle(endIn)
-	if open.state.Load() != connBusy {
+	if open.state != connBusy {
 		t.Error("a connection was closed under a request that had been taken")
 	}
 }
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -121,6 +121,13 @@
 	}
 }
 
+// Pending says whether bytes have come of a request whose head was not asked for yet.
+func (f *Framing) Pending() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.heads) > 0 || f.begun || len(f.line) > 0 || f.at != inHead
+}
+
 // Next says whether the length is certain of the next request whose head has been
 // read; it is not where no head was seen to end.
 func (f *Framing) Next() bool {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -47,16 +47,23 @@
 }
 
 // End closes a connection without taking from the other end what was written to
-// it: a close over bytes that were not read resets the connection, and they may
-// be on their way. It shuts the write side, reads on until the other end has
-// closed too, within a time and a number of bytes, and closes then. What it
-// reads is dropped.
+// it: it shuts the write side and lingers.
 func End(c HalfCloser, within time.Duration, most int64) error {
-	if c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(within)) == nil {
-		io.CopyN(io.Discard, onlyReader{c}, most)
+	if c.CloseWrite() == nil {
+		Linger(c, within, most)
 	}
 	return c.Close()
 }
 
+// Linger reads on from a connection whose write side was shut, until the other end has
+// closed too, within a time and a number of bytes: a close over bytes that were not
+// read resets the connection, and what was written to the other end may be on its way.
+// What is read is dropped.
+func Linger(c net.Conn, within time.Duration, most int64) {
+	if c.SetReadDeadline(time.Now().Add(within)) == nil {
+		io.CopyN(io.Discard, onlyReader{c}, most)
+	}
+}
+
 // onlyReader hides what a connection offers beside Read, so that nothing is spliced.
 type onlyReader struct{ io.Reader }
