Serve answers without a length where their connection ends in order

Cause: readBody took an answer with neither a length nor chunks for broken, whatever its end (transport.go, readBody: 'no length, or two'); also heads that need no body (500, 503 with Not-Started) were read as broken.

The answer carries Unsized, and the HTTP front shows it as it was: no length, and the connection closed behind it; if its write fails the connection is reset. A front that cannot (MessagePack-RPC) sets NeedsLength: the attempt is broken, may have run. An answer that is no 200 counts by its head alone.

Half a body and an orderly close cannot be told from a whole one by anybody. For each effect it is passed on as what it is: the upstream answered 200, so the effect has run; failing an unsafe one tells its client less, and repeating a safe or keyed one costs an attempt to replace an answer that is whole by the protocol's own rule. The client sees the same absence of a length and decides.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -26,6 +26,9 @@
 	// Gone, where the front sets it, looks whether the client has left by now. It
 	// may be called from anywhere until the request is answered.
 	Gone func() bool
+	// NeedsLength, where the front sets it, says that the front cannot show a client
+	// an answer whose end is not certain: see Answer.Unsized.
+	NeedsLength bool
 	// By, in the copy that an attempt has, is when its last byte has to be written
 	// at the latest; zero: no matter.
 	By time.Time
@@ -114,6 +117,9 @@
 	Verdict Verdict
 	Fields  map[string][]string // served: by canonical name; the front owns it
 	Body    []byte
+	// Unsized, served, says that the body ended with its connection, in order, and had
+	// no length: that it is whole is as certain as that is. A front shows it the same way.
+	Unsized bool
 	Pause   time.Duration // refused: how long to stay away
 	Text    string        // refused: why, where something beside the module says so; a line
 }
--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -242,12 +242,16 @@
 
 // Close ends the connection; net/http calls it last.
 func (c *clientConn) Close() error {
+	c.closeWith(endIn)
+	return nil
+}
+
+func (c *clientConn) closeWith(within time.Duration) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.ending {
-		c.shutLocked(endIn)
+		c.shutLocked(within)
 	}
-	c.mu.Unlock()
-	return nil
 }
 
 // shutLocked closes the connection, once, without taking from the client what was
@@ -284,6 +288,12 @@
 	return c.TCPConn.SetReadDeadline(t)
 }
 
+// reset closes the connection in a way that its client can tell from an end.
+func (c *clientConn) reset() {
+	c.SetLinger(0)
+	c.closeWith(0)
+}
+
 // cutShort bounds how long the rest of a request is read that is not taken.
 func (c *clientConn) cutShort(within time.Duration) {
 	c.mu.Lock()
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -111,7 +111,7 @@
 }
 
 func (s *Front) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	if wrong := framing(hr, hr.Context().Value(connKey{}).(*clientConn).framing.Next()); wrong != nil {
+	if wrong := framing(hr, hr.Context().Value(connKey{}).(*clientConn).framing.Next().Certain()); wrong != nil {
 		s.rejected.Add(1)
 		reject(w, hr, wrong)
 		return
@@ -150,7 +150,7 @@
 	}
 	// A client that does not read by then has given up; its answer is not held for it.
 	http.NewResponseController(w).SetWriteDeadline(r.Until.Add(writeAfter))
-	s.write(w, a, c.flooded.Load())
+	s.write(w, a, c)
 }
 
 // rejection says why a request is not taken, and what would be right.
@@ -315,8 +315,8 @@
 	core.Duplicate: http.StatusConflict,
 }
 
-// write writes an answer; last says that none is to follow on its connection.
-func (s *Front) write(w http.ResponseWriter, a core.Answer, last bool) {
+// write writes an answer.
+func (s *Front) write(w http.ResponseWriter, a core.Answer, c *clientConn) {
 	h := w.Header()
 	if a.Fields != nil {
 		http1.DropHopByHop(a.Fields)
@@ -331,14 +331,22 @@
 	if a.Pause > 0 {
 		h.Set("Retry-After", http1.Seconds(a.Pause))
 	}
-	if last || s.listener.isDraining() {
+	if c.flooded.Load() || s.listener.isDraining() {
 		h.Set("Connection", "close")
 	}
 	if a.Text != "" {
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 		a.Body = []byte(a.Text + "\n")
 	}
-	h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	if a.Unsized {
+		h.Set("Connection", "close")
+		h.Set("Transfer-Encoding", "identity") // net/http names no length then, and sends no such field
+	} else {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	w.WriteHeader(statuses[a.Verdict])
-	w.Write(a.Body)
+	_, err := w.Write(a.Body)
+	if a.Unsized && errors.Join(err, http.NewResponseController(w).Flush()) != nil {
+		c.reset() // an orderly end would make a whole answer of a part
+	}
 }
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -257,7 +257,7 @@
 	return &core.Request{
 		ID: call.ID, Class: class, Tenant: tenant, Repeat: call.Retry, Work: call.Work,
 		Until:   arrival.Add(max(0, call.Left-core.AnswerMargin)),
-		Message: core.Message{Method: method, Target: call.Target, Host: host, Fields: call.HTTPFields(), Body: call.Body},
+		Message: core.Message{Method: method, Target: call.Target, Host: host, Fields: call.HTTPFields(), Body: call.Body, NeedsLength: true},
 	}, nil
 }
 
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -14,7 +14,7 @@
 // concurrently.
 type Framing struct {
 	mu    sync.Mutex
-	heads []bool // those read and not asked for yet: whether their length is certain
+	heads []Head // those read and not asked for yet
 	at    part
 	line  []byte // what there is of the line under way
 	left  int64  // bytes of the body or the chunk that are to come
@@ -23,6 +23,17 @@
 	coded bool   // it has a Transfer-Encoding
 }
 
+// Head is what a message's head says of its length.
+type Head struct {
+	Seen  bool // its end was seen
+	Sized bool // it has a Content-Length
+	Coded bool // it has a Transfer-Encoding, also where net/http passes that over
+}
+
+// Certain says whether every reader of the message sees the same length: one was named
+// at the most.
+func (h Head) Certain() bool { return h.Seen && !(h.Sized && h.Coded) }
+
 type part int
 
 const (
@@ -108,7 +119,7 @@
 			f.sized, f.left = true, int64(n)
 		}
 	default:
-		f.heads = append(f.heads, !(f.sized && f.coded))
+		f.heads = append(f.heads, Head{Seen: true, Sized: f.sized, Coded: f.coded})
 		switch {
 		case f.sized && f.coded:
 			f.at = lost
@@ -128,17 +139,17 @@
 	return len(f.heads) > 0 || f.begun || len(f.line) > 0 || f.at != inHead
 }
 
-// Next says whether the length is certain of the next request whose head has been
-// read; it is not where no head was seen to end.
-func (f *Framing) Next() bool {
+// Next returns what the head says of its message's length that was read next; the
+// zero Head where none was seen to end.
+func (f *Framing) Next() Head {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.heads) == 0 {
-		return false
+		return Head{}
 	}
-	certain := f.heads[0]
+	head := f.heads[0]
 	if f.heads = f.heads[1:]; len(f.heads) == 0 {
 		f.heads = nil
 	}
-	return certain
+	return head
 }
--- a/internal/transport/httpnode/unsized_test.go
+++ b/internal/transport/httpnode/unsized_test.go
@@ -73,3 +73,12 @@
 		t.Errorf("ending %v, want timed out", got)
 	}
 }
+
+// A front that cannot show an answer's end as it was gets none: it may have run.
+func TestFrontThatNeedsALength(t *testing.T) {
+	u := peertest.NewUpstream(t, func(peertest.Received) (string, bool) { return "HTTP/1.1 200 OK\r\n\r\nhoney", true })
+	m := &core.Message{Method: "POST", Target: "/api", Host: "service.internal", Body: []byte("{}"), NeedsLength: true}
+	if got, a := (&Transport{pool: testPool(2)}).try(t.Context(), &peer{addr: u.Addr}, m); got != policy.Broken || a != nil {
+		t.Errorf("ending %v, answer %+v; want broken", got, a)
+	}
+}
