Hear a discovery at any speed: two calls at a time, timed by a pure module

Cause: a call whose answer had not begun after 3 s (asked) or 1 s (pushed) was given up and begun anew, always with the same patience (platform.go, callIn): a discovery that is always slower is never heard, and giving up crowds one that works through calls in turn. Longer patience alone would lose the news of a pushed list's agent that was down: calls made before its return are not answered.

Change: resolver.Schedule (no clock, goroutine or I/O) keeps two calls: the older one is waited for 8 s (pushed) or 30 s (asked), doubling; the younger is replaced each second (pushed) or after 3 s, doubling to 4.5 s while a list is in force and to 24 s while none is. Each call has a connection of its own, so that giving it up frees it at once (net/http lets a dial go on).

--- a/internal/archtest/decisions_test.go
+++ b/internal/archtest/decisions_test.go
@@ -16,7 +16,7 @@
 // tried in: the same events give the same results, whatever the machine, the time
 // and the network. Each has what it may import beside pure packages.
 var decisions = map[string][]string{
-	"policy": nil, "membership": nil, "quota": nil, "internal/plugin/breaker": nil, "internal/fleet": {"mothridge/policy", "mothridge/membership", "mothridge/quota", "github.com/HdrHistogram/hdrhistogram-go", "gonum.org/v1/gonum/stat/distuv"},
+	"policy": nil, "membership": nil, "quota": nil, "internal/plugin/breaker": nil, "resolver": nil, "internal/fleet": {"mothridge/resolver", "mothridge/policy", "mothridge/membership", "mothridge/quota", "github.com/HdrHistogram/hdrhistogram-go", "gonum.org/v1/gonum/stat/distuv"},
 }
 
 // pure are the imports a decision package may have. None of them does I/O.
--- a/internal/registry/platform/platform.go
+++ b/internal/registry/platform/platform.go
@@ -10,13 +10,12 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
-	"net/http"
 	"strconv"
 	"time"
 
 	"mothridge/internal/core"
 	"mothridge/internal/settings"
+	"mothridge/resolver"
 )
 
 // Listing is discovery's news of the upstreams: the whole list or what changed.
@@ -74,12 +73,6 @@
 	listPath = "/registry/instances"
 	// silence ends a watch: an empty line comes every 2 s while nothing changes.
 	silence = 3 * time.Second
-	// pushedIn is how long a call may take to begin its answer where lists are
-	// pushed: the agent is on this machine and answers at once, or is silent while
-	// discovery is down. What it gets at the return counts as told at that moment, and
-	// a drain among it is to be kept 2 s later: a call that began before the return
-	// may not be waited for longer than that leaves.
-	pushedIn = time.Second
 	// What is out of reach is tried again soon, but not at once.
 	firstReopen = 100 * time.Millisecond
 	lastReopen  = 250 * time.Millisecond
@@ -94,9 +87,9 @@
 
 // Discovery follows the list of upstreams.
 type Discovery struct {
-	client  *http.Client
 	base    string
-	held    bool   // a list is held: changes may build on it
+	listed  bool   // some list is in force, which may be out of date
+	held    bool   // the list in force is discovery's own: changes may build on it
 	seq     uint64 // its version
 	deliver func(core.News)
 
@@ -104,7 +97,9 @@
 
 	asks   <-chan struct{} // the module's calls, where it has to ask for the list; else nil
 	failed func()          // tells it that its call failed or the watch has ended
-	callIn time.Duration   // a call whose answer has not begun by then is given up
+
+	schedule *resolver.Schedule // of the calls
+	began    time.Time          // where its time begins
 }
 
 // New follows the discovery at an address, on from the list as last held, if
@@ -114,15 +109,12 @@
 		base:    listURL(addr),
 		deliver: deliver,
 		moves:   make(chan string, 1),
-		callIn:  pushedIn,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:        (&net.Dialer{Timeout: silence, KeepAlive: -1}).DialContext,
-			MaxConnsPerHost:    Sockets,
-			DisableCompression: true,
-		}},
+		began:   time.Now(),
+		// Calls to an agent on the own machine need no spread.
+		schedule: resolver.New(resolver.Pushed(), 0),
 	}
 	if known != nil {
-		d.held, d.seq = true, known.Seq
+		d.listed, d.held, d.seq = true, true, known.Seq
 	}
 	return d
 }
@@ -134,9 +126,9 @@
 
 // Ask makes Follow wait for a call of asks before each watch, for installations
 // where asking has a cost; failed is told when a call failed or the watch has ended.
-// Calls work through in turn there, and so may wait for as long as a watch may be silent.
-func (d *Discovery) Ask(asks <-chan struct{}, failed func()) {
-	d.asks, d.failed, d.callIn = asks, failed, silence
+// Calls work through in turn there; seed spreads those of one sidecar against the others'.
+func (d *Discovery) Ask(asks <-chan struct{}, failed func(), seed uint64) {
+	d.asks, d.failed, d.schedule = asks, failed, resolver.New(resolver.Asked(), seed)
 }
 
 // Move makes Follow go on at another address, at once. It must not be called concurrently.
@@ -152,7 +144,6 @@
 // that were counted so far: only its whole list is to be built on.
 func (d *Discovery) moved(addr string) {
 	slog.Info("discovery: moved", "to", addr)
-	d.client.CloseIdleConnections()
 	d.base, d.held = listURL(addr), false
 }
 
@@ -232,7 +223,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s := &stream{}
-	s.timer = time.AfterFunc(d.callIn, func() { cancel(errors.New("silent")) })
+	s.timer = time.AfterFunc(silence, func() { cancel(errors.New("silent")) })
+	s.timer.Stop() // until an answer has begun
 	defer s.timer.Stop()
 	defer func() {
 		if err != nil && context.Cause(ctx) != nil {
@@ -245,7 +237,7 @@
 		}
 		heard = true
 	}
-	s.timer.Reset(d.callIn)
+	s.timer.Stop()
 	body, err := d.open(ctx, d.base+"?watch=1&from="+strconv.FormatUint(d.seq, 10))
 	if err != nil {
 		return heard, err
@@ -340,22 +332,6 @@
 	return d.take(l)
 }
 
-func (d *Discovery) open(ctx context.Context, url string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := d.client.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		resp.Body.Close()
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return resp.Body, nil
-}
-
 // take passes on one piece of news. Changes apply in order and only on top of
 // the list they follow; what was had already is passed over.
 func (d *Discovery) take(l Listing) error {
@@ -366,7 +342,7 @@
 	case l.Seq == d.seq:
 		l.Hosts = nil
 	}
-	d.held, d.seq = true, l.Seq
+	d.listed, d.held, d.seq = true, true, l.Seq
 	d.deliver(l.News())
 	return nil
 }
--- a/internal/registry/platform/slow_test.go
+++ b/internal/registry/platform/slow_test.go
@@ -55,7 +55,7 @@
 			if c.ask {
 				asks := make(chan struct{}, 1)
 				asks <- struct{}{}
-				d.Ask(asks, func() { asks <- struct{}{} })
+				d.Ask(asks, func() { asks <- struct{}{} }, 1)
 			}
 			go d.Follow(t.Context())
 			select {
--- a/internal/sidecar/sources.go
+++ b/internal/sidecar/sources.go
@@ -49,7 +49,7 @@
 	}
 	d := platform.New(c.Discovery, c.Known, update)
 	if c.Policy.AskList {
-		d.Ask(k.Asks(), k.UpdateFailed)
+		d.Ask(k.Asks(), k.UpdateFailed, c.Seed)
 	}
 	go d.Follow(ctx)
 	return d, m, nil
