Answer what is read while a front shuts down, and accept all before its listener closes

Cause: Front.Shutdown called http.Server.Shutdown while connections were open. From then on net/http drops every request it has read (conn.serve: 'if c.server.shuttingDown() { return }'), with an orderly close and no answer: any request whose head became whole later than 0.6 s after SIGTERM, on new and kept connections. lastCall waited only until Accept was not held up by the bound, not until it had accepted what waits: the listener was closed over it ('connection reset by peer').

Change: the front closes its listener itself, waits until all connections have ended, and closes the server last. PatientListener.Drained waits until Accept has waited in vain for 10 ms.

--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"mothridge/internal/http1"
@@ -34,10 +32,11 @@
 	active   atomic.Bool       // net/http answers a request of it
 	flooded  atomic.Bool       // more than aheadMost came behind a request
 	framing  http1.Framing
-	raw      syscall.RawConn // the reader's
-	ahead    []byte          // read behind a request while that was answered; the reader's
-	evicted  bool            // it is closed to make room; the listener's lock guards it
-	since    time.Time       // of its last change of state; the listener's lock guards it
+	in       *sockets.NotingReader // the reader's
+	starts   bool                  // a request has begun with what was read last; the reader's
+	ahead    []byte                // read behind a request while that was answered; the reader's
+	evicted  bool                  // it is closed to make room; the listener's lock guards it
+	since    time.Time             // of its last change of state; the listener's lock guards it
 
 	// mu makes one moment of reading bytes and noting them, and of looking whether a
 	// request has begun and shutting the connection: what was read before the shutdown
@@ -86,33 +85,13 @@
 
 // read reads from the socket. The first byte of a request starts its one budget,
 // whatever deadline was set before.
-func (c *clientConn) read(b []byte) (n int, err error) {
-	if c.raw == nil {
-		if c.raw, err = c.TCPConn.SyscallConn(); err != nil {
-			return 0, err
-		}
+func (c *clientConn) read(b []byte) (int, error) {
+	if c.in == nil {
+		c.in = sockets.NewNotingReader(c.TCPConn, &c.mu, c.note)
 	}
-	began, ending := false, false
-	waited := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		n, err = readNow(int(fd), b)
-		if ending = c.ending; n > 0 && !ending && c.state == connIdle && c.begun.IsZero() {
-			c.begun, began = time.Now(), true
-		}
-		return !errors.Is(err, syscall.EAGAIN)
-	})
-	switch {
-	case waited != nil:
-		n, err = 0, waited
-	case ending:
-		return 0, net.ErrClosed
-	case err != nil:
-		n = 0
-	case n == 0:
-		err = io.EOF
-	}
-	if began {
+	n, err := c.in.Read(b)
+	if c.starts {
+		c.starts = false
 		c.SetReadDeadline(time.Time{})
 	}
 	if n > 0 {
@@ -120,20 +99,18 @@
 		c.heard.Store(true)
 		c.came.Store(int64(time.Since(c.accepted)))
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.gone.Store(true)
 	}
 	return n, err
 }
 
-// readNow reads what is there.
-func readNow(fd int, b []byte) (int, error) {
-	for {
-		n, err := syscall.Read(fd, b)
-		if !errors.Is(err, syscall.EINTR) {
-			return max(n, 0), err
-		}
+// note notes that bytes were read; c.mu is held. Those of an ended connection are dropped.
+func (c *clientConn) note(n int) bool {
+	if n > 0 && !c.ending && c.state == connIdle && c.begun.IsZero() {
+		c.begun, c.starts = time.Now(), true
 	}
+	return !c.ending
 }
 
 // watch is the read ahead of net/http: it ends with a byte once net/http calls it
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -98,13 +98,13 @@
 func (s *Front) Drain() { s.listener.drain() }
 
 // Shutdown closes the listener and waits until all that was taken is answered,
-// or ctx ends.
+// or ctx ends. It does not call the server's own Shutdown before all connections have
+// ended: from then on net/http drops each request that it has read, without an answer.
 func (s *Front) Shutdown(ctx context.Context) error {
-	s.listener.lastCall(ctx)
-	ended := make(chan error, 1)
-	go func() { ended <- s.server.Shutdown(ctx) }()
+	s.listener.Drained(ctx)
+	err := s.listener.Close()
 	s.listener.empty(ctx)
-	if err := <-ended; err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := errors.Join(err, s.server.Close()); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("shut down: %w", err)
 	}
 	return nil
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -125,7 +125,7 @@
 	s.Drain()
 	ended := make(chan error, 1)
 	go func() { ended <- s.Shutdown(t.Context()) }()
-	peertest.Until(t, "the wait for the last ones", func() bool { return s.listener.isDraining() && s.listener.isBlocked() })
+	peertest.Until(t, "the drain", s.listener.isDraining)
 	close(k.pass)
 	for range testConfig.Connections + 2 {
 		if got := peertest.Await(t, "an answer", results); got != http.StatusOK {
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -29,7 +29,6 @@
 	freed    *sync.Cond
 	open     int           // accepted, and not closed yet
 	leaving  int           // of those, how many are being closed to make room
-	blocked  bool          // Accept waits for room
 	begun    []*clientConn // new, or with a request that is read or answered; the oldest first
 	idle     []*clientConn // between requests, the longest idle first
 	draining bool
@@ -77,9 +76,7 @@
 func (l *limitedListener) acquire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	defer func() { l.blocked = false }()
 	for l.open >= l.most {
-		l.blocked = true
 		if l.open-l.leaving < l.most { // those that make way are as good as closed
 			l.freed.Wait()
 			continue
@@ -149,27 +146,6 @@
 	}
 }
 
-// lastCall waits until what came before it is accepted: closing a listener resets
-// what waits there, and at the bound something may.
-func (l *limitedListener) lastCall(ctx context.Context) {
-	look := time.NewTicker(lookEvery)
-	defer look.Stop()
-	for l.isBlocked() {
-		select {
-		case <-look.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// isBlocked says whether new connections wait for room.
-func (l *limitedListener) isBlocked() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.blocked
-}
-
 // empty waits until every connection has been closed. It ends those that say
 // nothing: after a planned restart was announced clients go on sending on every
 // connection that is open, and the last of them could not be answered.
--- a/internal/front/httpfront/shutdown_test.go
+++ b/internal/front/httpfront/shutdown_test.go
@@ -28,16 +28,14 @@
 					c, in = keptConn(t, addr)
 				}
 				text := requestText(t, "begun")
-				if first < 0 {
-					first += len(text)
-				}
-				c.Write(text[:first])
+				sent := (first + len(text)) % len(text)
+				c.Write(text[:sent])
 				peertest.Until(t, "its first bytes", func() bool { return s.began() })
 				s.Drain()
 				ended := make(chan error, 1)
 				go func() { ended <- s.Shutdown(context.Background()) }()
 				time.Sleep(endsAfter) // the client's pace
-				c.Write(text[first:])
+				c.Write(text[sent:])
 				if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
 					t.Errorf("got %v, error %v; want 200 and word that it is the last", resp, err)
 				}
--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -20,12 +20,16 @@
 	nc    net.Conn
 	wake  chan struct{} // tells the writer that there is something to write, or that it is over
 
+	accepted time.Time
+
 	mu     sync.Mutex
 	open   map[uint32]*core.Request // taken and not answered
 	line   []answer                 // to be written
 	held   int                      // bytes of their bodies
 	note   []byte                   // notifications to be written, whole ones
 	since  time.Time                // when it last had nothing open
+	heard  bool                     // something was read from it
+	begun  bool                     // bytes were read of a message that is not taken yet
 	finish bool                     // to be closed as soon as nothing is open or in line
 	closed bool                     // takes nothing more
 
@@ -41,7 +45,8 @@
 }
 
 func newConn(f *Front, nc net.Conn) *conn {
-	return &conn{front: f, nc: nc, wake: make(chan struct{}, 1), open: make(map[uint32]*core.Request), since: time.Now()}
+	now := time.Now()
+	return &conn{front: f, nc: nc, wake: make(chan struct{}, 1), open: make(map[uint32]*core.Request), accepted: now, since: now}
 }
 
 func (c *conn) signal() {
@@ -58,7 +63,29 @@
 	return c.since, c.idleLocked()
 }
 
-func (c *conn) idleLocked() bool { return len(c.open) == 0 && len(c.line) == 0 && len(c.note) == 0 }
+func (c *conn) idleLocked() bool {
+	return len(c.open) == 0 && len(c.line) == 0 && len(c.note) == 0 && !c.begun
+}
+
+// noteRead notes that bytes were read; c.mu is held. Those of a closed connection are
+// nobody's.
+func (c *conn) noteRead(n int) bool {
+	if n > 0 && !c.closed {
+		c.heard, c.begun = true, true
+	}
+	return !c.closed
+}
+
+// noteTaken notes that what was read has been taken, if nothing is left of it.
+func (c *conn) noteTaken(left int) {
+	c.mu.Lock()
+	c.begun = left > 0
+	wanted := c.finish && c.idleLocked()
+	c.mu.Unlock()
+	if wanted {
+		c.signal()
+	}
+}
 
 // closeIdle closes the connection if nothing is open on it. From then on no
 // request of it is taken, so that a client may send it again elsewhere.
@@ -88,10 +115,11 @@
 	c.signal()
 }
 
-// finish closes the connection as soon as all that was taken is answered.
-func (c *conn) finishUp() {
+// finishUp closes the connection as soon as all that was taken is answered. On a new
+// one the first message may be on its way.
+func (c *conn) finishUp(now time.Time) {
 	c.mu.Lock()
-	c.finish = true
+	c.finish = c.finish || c.heard || now.Sub(c.accepted) >= speakIn
 	c.mu.Unlock()
 	c.signal()
 }
@@ -99,7 +127,7 @@
 // read is the reader.
 func (c *conn) read() {
 	defer c.end()
-	in := msgrpc.NewFramer(c.nc, msgrpc.MaxRequest, wholeIn)
+	in := msgrpc.NewFramer(notedConn{c.nc, sockets.NewNotingReader(c.nc, &c.mu, c.noteRead)}, msgrpc.MaxRequest, wholeIn)
 	for {
 		frame, err := in.Next()
 		if err != nil {
@@ -114,9 +142,18 @@
 		if !c.take(frame, time.Now()) {
 			return
 		}
+		c.noteTaken(in.Buffered())
 	}
 }
 
+// notedConn is a connection that is read through a NotingReader.
+type notedConn struct {
+	net.Conn
+	in *sockets.NotingReader
+}
+
+func (c notedConn) Read(b []byte) (int, error) { return c.in.Read(b) }
+
 // end gives up what the client left open.
 func (c *conn) end() {
 	c.mu.Lock()
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -48,6 +48,10 @@
 	stallIn = time.Second
 	// floodPause is what a client that asks for too much at once is told to wait.
 	floodPause = 100 * time.Millisecond
+	// lookEvery is how often a front that ends looks at connections that say nothing, and
+	// speakIn how old one is before that is held to be so.
+	lookEvery = 10 * time.Millisecond
+	speakIn   = 50 * time.Millisecond
 	// strikesOut is how many messages that are none a connection may send.
 	strikesOut = 16
 )
@@ -76,6 +80,7 @@
 	conns    map[*conn]struct{}
 	draining bool
 	closed   bool
+	served   chan struct{} // closed when Serve has returned
 	changed  chan struct{} // closed and made anew when a connection ends
 
 	connections, taken, rejected, flooded, repeated, malformed, stalled atomic.Uint64
@@ -91,7 +96,7 @@
 	}
 	return &Front{
 		core: k, cfg: c, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants), ln: sockets.Patient(ln),
-		conns: make(map[*conn]struct{}), changed: make(chan struct{}),
+		conns: make(map[*conn]struct{}), changed: make(chan struct{}), served: make(chan struct{}),
 	}
 }
 
@@ -105,6 +110,7 @@
 
 // Serve serves until Shutdown, or returns an error once its listener was closed by another.
 func (f *Front) Serve() error {
+	defer close(f.served)
 	for {
 		nc, err := f.ln.Accept()
 		if err != nil {
@@ -119,11 +125,6 @@
 		f.makeRoom() // only now: nobody is sent away for one who does not come
 		c := newConn(f, nc)
 		f.mu.Lock()
-		if f.closed {
-			f.mu.Unlock()
-			nc.Close()
-			return nil
-		}
 		f.conns[c] = struct{}{}
 		if f.draining {
 			c.drain()
@@ -184,8 +185,10 @@
 }
 
 // Shutdown closes the listener and each connection as soon as all that was
-// taken on it is answered and written, or ctx ends.
+// taken on it is answered and written, or ctx ends. What crosses the drain is taken:
+// connections that wait to be accepted are, and a message that has begun is read on.
 func (f *Front) Shutdown(ctx context.Context) error {
+	f.ln.Drained(ctx)
 	f.mu.Lock()
 	f.closed = true
 	f.mu.Unlock()
@@ -193,11 +196,17 @@
 	if errors.Is(err, net.ErrClosed) {
 		err = nil
 	}
+	select {
+	case <-f.served: // it takes no further connection
+	case <-ctx.Done():
+	}
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
 	for {
 		f.mu.Lock()
 		changed, left := f.changed, len(f.conns)
 		for c := range f.conns {
-			c.finishUp()
+			c.finishUp(time.Now())
 		}
 		f.mu.Unlock()
 		if left == 0 {
@@ -205,6 +214,7 @@
 		}
 		select {
 		case <-changed:
+		case <-look.C: // a connection on which nothing was said so far
 		case <-ctx.Done():
 			f.mu.Lock()
 			for c := range f.conns {
--- a/internal/front/rpcfront/front_test.go
+++ b/internal/front/rpcfront/front_test.go
@@ -75,12 +75,14 @@
 	return &client{nc, msgrpc.NewFramer(nc, msgrpc.MaxAnswer, peertest.Patience)}
 }
 
-func (c *client) ask(id uint32, change func(*msgrpc.Call)) {
+func (c *client) ask(id uint32, change func(*msgrpc.Call)) { c.Write(callText(id, change)) }
+
+func callText(id uint32, change func(*msgrpc.Call)) []byte {
 	call := msgrpc.Call{ID: fmt.Sprint("r", id), Class: "once", Tenant: "north", Left: 5 * time.Second, Body: []byte("{}")}
 	if change != nil {
 		change(&call)
 	}
-	c.Write(call.Append(nil, id))
+	return call.Append(nil, id)
 }
 
 func (c *client) next(t *testing.T) msgrpc.Message {
--- a/internal/msgrpc/frame.go
+++ b/internal/msgrpc/frame.go
@@ -205,6 +205,9 @@
 	}
 }
 
+// Buffered returns how many bytes were read behind the message that Next returned last.
+func (f *Framer) Buffered() int { return f.end - f.begin }
+
 // room makes room to read on.
 func (f *Framer) room() {
 	if f.begin == f.end {
--- a/internal/sockets/accept.go
+++ b/internal/sockets/accept.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -17,6 +18,8 @@
 	lastPause  = 100 * time.Millisecond
 	// tellEvery bounds how often failures are logged.
 	tellEvery = 10 * time.Second
+	// drainedIn is how long Accept waits in vain before nothing can be left to accept.
+	drainedIn = 10 * time.Millisecond
 )
 
 // PatientListener is a listener whose Accept fails only once it was closed. Every other
@@ -32,6 +35,7 @@
 	closed chan struct{}
 
 	mu     sync.Mutex
+	since  time.Time     // Accept waits for a connection since then; zero: it does not
 	pause  time.Duration // of the failures in a row; 0: the last accept went well
 	toldAt time.Time
 }
@@ -50,7 +54,9 @@
 // Accept waits for the next connection. Its error is net.ErrClosed, and comes only once
 // the listener has been closed.
 func (l *PatientListener) Accept() (net.Conn, error) {
+	defer l.waits(time.Time{})
 	for {
+		l.waits(time.Now())
 		c, err := l.Listener.Accept()
 		if err == nil {
 			l.mu.Lock()
@@ -71,6 +77,33 @@
 	}
 }
 
+func (l *PatientListener) waits(since time.Time) {
+	l.mu.Lock()
+	l.since = since
+	l.mu.Unlock()
+}
+
+// Drained waits until Accept has waited in vain for a short time: then all connections
+// that came before the call have been accepted. Closing a listener resets those that
+// have not. It ends early with ctx.
+func (l *PatientListener) Drained(ctx context.Context) {
+	look := time.NewTicker(drainedIn)
+	defer look.Stop()
+	for !l.hasWaited() {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *PatientListener) hasWaited() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.since.IsZero() && time.Since(l.since) >= drainedIn
+}
+
 // failed notes a failure and returns how long to wait.
 func (l *PatientListener) failed(err error, now time.Time) time.Duration {
 	count := l.failures.Add(1)
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -66,7 +66,9 @@
 }
 
 // Counters returns what was counted so far.
-func (t *Transport) Counters() Counters { return Counters{t.pool.dials.Load(), t.pool.failed.Load(), t.unsized.Load()} }
+func (t *Transport) Counters() Counters {
+	return Counters{t.pool.dials.Load(), t.pool.failed.Load(), t.unsized.Load()}
+}
 
 // Node makes the node at an address.
 func (t *Transport) Node(addr string) core.Node { return &node{t, &peer{addr: addr}} }
