One guard next to each send, checks that count broken rules, and reasons for what is given up

Change: Message.MayBegin, which both transports ask right before the first byte, now also withholds an attempt whose server was told to drain or has left, and whose request has its answer, whatever the dial time-out in the settings is (suspicion: a send chosen before a drain was told, whose connection comes up late; nothing looked). The HTTP front counts connections closed under a taken request. Each is an ERROR line with the request's id, and mothridge_violations_total.

Also: mothridge_withheld_total, given_up_total (reasons of the decision module: policy.Reason), attempts_total by ending, front_total with the reasons of closes; at level debug a line with the request's id for each attempt's end and each request given up.

The MessagePack-RPC transport made its frames, with the time left, when they were put in line; where the writer stood still the node was told too much. They are made as they are written.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -49,6 +50,8 @@
 	node    Node
 	started time.Duration
 	probes  []*probe // in the order the module asked for them
+	// closedAt is when it was told to drain or left, since the core's begin; 0: it is up.
+	closedAt atomic.Int64
 }
 
 // names are the Request-Ids that are held. The loop alone changes them; the
@@ -89,6 +92,10 @@
 	Known  *News               // the list as last held; nil where there is none
 	Reach  func(Instance) Node // makes the node of an instance, without I/O
 
+	// DrainGrace is how long after the news of a drain an attempt may begin, for the
+	// run-time check alone: the guard lets none begin. 0: DefaultDrainGrace.
+	DrainGrace time.Duration
+
 	// Answered hears of each final answer on the loop, and must not block; nil:
 	// nobody wants to know. The time counts from when the request was taken.
 	Answered func(class int, v Verdict, took time.Duration)
@@ -105,10 +112,15 @@
 	asks   chan struct{} // the module wants to subscribe to the list
 	over   chan struct{} // closed once Run has returned: events wait for nobody then
 
-	begin time.Time
-	now   time.Duration // the module's clock at the event under way
-	timer *time.Timer
-	dueAt time.Duration // when Wake is due; 0: not armed
+	checks  checks
+	givenUp [policy.ReasonsCount]atomic.Uint64
+	endings [policy.NotSent + 1]atomic.Uint64
+
+	begin    time.Time
+	beginNow time.Duration // the module's clock then
+	now      time.Duration // the module's clock at the event under way
+	timer    *time.Timer
+	dueAt    time.Duration // when Wake is due; 0: not armed
 
 	lastID   policy.RequestID
 	requests map[policy.RequestID]*Request
@@ -128,6 +140,7 @@
 // New makes a Core; Run starts it. The error names the unusable field of the
 // decision module's settings.
 func New(c Config) (*Core, error) {
+	c.DrainGrace = cmp.Or(c.DrainGrace, DefaultDrainGrace)
 	l := &Core{
 		config: c, begin: time.Now(),
 		events: make(chan any, eventBacklog), asks: make(chan struct{}, 1), over: make(chan struct{}), timer: time.NewTimer(time.Hour),
@@ -143,6 +156,7 @@
 		return nil, err
 	}
 	l.b = b
+	l.beginNow = time.Duration(l.begin.UnixNano())
 	l.now = l.clock()
 	b.Start(l.now)
 	if c.Known != nil {
@@ -235,6 +249,48 @@
 	var attrs []any
 	counters.Each(l.b.Counters(), func(name string, n uint64) { attrs = append(attrs, slog.Uint64(name, n)) })
 	slog.Info("counters", attrs...)
+	attrs = nil
+	counters.Each(l.Checks(), func(name string, n uint64) { attrs = append(attrs, slog.Uint64(name, n)) })
+	slog.Info("checks", attrs...)
+}
+
+// noteGivenUp counts and logs why the module gives a request up.
+func (l *Core) noteGivenUp(id policy.RequestID, how string) {
+	why := l.b.Reason()
+	l.givenUp[why].Add(1)
+	if r := l.requests[id]; r != nil && slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("request given up", "request", r.ID, "how", how, "reason", why.String(), "attempts", len(r.attempts))
+	}
+}
+
+// GivenUp returns how many requests were refused or failed, by reason.
+func (l *Core) GivenUp() map[string]uint64 {
+	counts := make(map[string]uint64)
+	for why := range l.givenUp {
+		if n := l.givenUp[why].Load(); n > 0 {
+			counts[policy.Reason(why).String()] = n
+		}
+	}
+	return counts
+}
+
+// noteEnded counts and logs how an attempt has ended.
+func (l *Core) noteEnded(a *attempt, ending policy.Ending) {
+	if ending >= 0 && int(ending) < len(l.endings) {
+		l.endings[ending].Add(1)
+	}
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("attempt ended", "request", a.req.ID, "attempt", a.number, "server", a.server, "ending", ending.String())
+	}
+}
+
+// Endings returns how many attempts have ended, by how.
+func (l *Core) Endings() map[string]uint64 {
+	counts := make(map[string]uint64)
+	for ending := range l.endings {
+		counts[policy.Ending(ending).String()] = l.endings[ending].Load()
+	}
+	return counts
 }
 
 var errEnded = errors.New("the core has ended")
@@ -284,6 +340,7 @@
 		l.arrive(e.req)
 	case left:
 		if r := e.req; r.id != 0 && !r.over {
+			r.history.end(time.Now(), true)
 			l.close(r)
 			l.b.ClientGone(l.now, r.id)
 		}
@@ -336,7 +393,12 @@
 // finish gives a request its one answer.
 func (l *Core) finish(id policy.RequestID, a Answer) {
 	if r := l.requests[id]; r != nil && !r.over {
+		r.history.end(time.Now(), false)
 		l.close(r)
+		if r.history.answered {
+			violated(&l.checks.answeredTwice, "answered_twice", r.ID)
+		}
+		r.history.answered = true
 		if l.config.Answered != nil {
 			l.config.Answered(r.Class, a.Verdict, l.now-r.taken)
 		}
@@ -347,6 +409,8 @@
 func (l *Core) end(e ended) {
 	a, r := e.attempt, e.attempt.req
 	r.out--
+	r.history.ended(a.number, e.ending)
+	l.noteEnded(a, e.ending)
 	r.timedOut = e.ending == policy.TimedOut
 	if e.ending == policy.Served {
 		l.finish(r.id, *e.answer)
@@ -415,9 +479,13 @@
 func (l *Core) forget(name string, h *host) {
 	delete(l.hosts, name)
 	delete(l.byID, h.id)
+	h.close(l.now - l.beginNow)
 	h.node.Retire()
 }
 
+// close notes that nothing new may be sent to the host.
+func (h *host) close(now time.Duration) { h.closedAt.CompareAndSwap(0, max(int64(now), 1)) }
+
 // forgetSites lets go of the sites that the settings do not name and no host is at any more.
 func (l *Core) forgetSites() {
 	if len(l.sites) <= len(l.config.Zones)+len(l.hosts) {
@@ -459,6 +527,11 @@
 		h.started = min(max(e.Started, 0), l.now)
 	}
 	h.entry = e
+	if e.Health == Up {
+		h.closedAt.Store(0)
+	} else {
+		h.close(l.now - l.beginNow)
+	}
 	site, ok := l.sites[e.Site]
 	if !ok {
 		site = l.nextSite
@@ -493,6 +566,10 @@
 			until = cut
 		}
 	}
+	if h != nil {
+		a.server = h.entry.Name
+		m.guard = &attemptGuard{core: l, request: r, host: h, number: a.number}
+	}
 	if within > 0 { // from the module's own now: the event may have taken its time
 		m.By = time.Now().Add(within - (l.clock() - l.now))
 	}
@@ -512,11 +589,13 @@
 
 // Refuse tells the client that trying again is harmless.
 func (l *Core) Refuse(id policy.RequestID, pause time.Duration) {
+	l.noteGivenUp(id, "refused")
 	l.finish(id, Answer{Verdict: Refused, Pause: pause})
 }
 
 // Fail answers without a promise.
 func (l *Core) Fail(id policy.RequestID) {
+	l.noteGivenUp(id, "failed")
 	verdict := Failed
 	if r := l.requests[id]; r != nil && (r.timedOut || r.out > 0) { // time ran out, whoever noticed first
 		verdict = TimedOut
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -32,13 +32,8 @@
 	// By, in the copy that an attempt has, is when its last byte has to be written
 	// at the latest; zero: no matter.
 	By time.Time
-}
 
-// MayBegin is asked by transports right before the first byte is written, as
-// much may have happened since the module decided: connections come up late, and
-// clients leave. What may not begin has ended as policy.NotSent.
-func (m *Message) MayBegin(now time.Time) bool {
-	return (m.By.IsZero() || now.Before(m.By)) && (m.Gone == nil || !m.Gone())
+	guard *attemptGuard // in the copy that an attempt has
 }
 
 // ErrNotBegun is why a transport wrote nothing where MayBegin forbade it.
@@ -66,6 +61,7 @@
 	// client has gone before its answer; the core has no part in it.
 	Left func()
 
+	history  history
 	id       policy.RequestID
 	taken    time.Duration // by the module's clock
 	over     bool          // answered, or the client has gone
@@ -175,6 +171,7 @@
 type attempt struct {
 	req    *Request
 	number int
+	server string
 	ctx    context.Context // ends when the attempt is given up
 	cancel context.CancelFunc
 }
--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -44,9 +44,23 @@
 	mu     sync.Mutex
 	state  connState
 	begun  time.Time // when the first byte of the request came that is being read; zero: none has
-	ending bool      // nothing that is read from now on counts
+	why    closeReason
+	ending bool // nothing that is read from now on counts
 }
 
+// closeReason says why a connection was closed.
+type closeReason int
+
+const (
+	closedByServer   closeReason = iota // net/http did: after an answer, an error or a time, or as the client left
+	closedIdle                          // too many were idle, or one had to make way
+	closedDrain                         // it was idle as service ended
+	closedSilent                        // nothing had come on it as service ended
+	closedUnfinished                    // a new one, silent or with half a request, had to make way
+	closedCut                           // an answer without a length could not be written whole
+	closeReasons
+)
+
 // connState says what becomes of what is read from a connection.
 type connState int
 
@@ -195,11 +209,11 @@
 }
 
 // closeIdle ends the connection unless a request of it has begun or been taken.
-func (c *clientConn) closeIdle(within time.Duration) bool {
+func (c *clientConn) closeIdle(within time.Duration, why closeReason) bool {
 	c.mu.Lock()
 	idle := c.state == connIdle && c.begun.IsZero() && !c.ending
 	if idle {
-		c.shutLocked(within)
+		c.shutLocked(within, why)
 	}
 	c.mu.Unlock()
 	return idle
@@ -211,7 +225,7 @@
 	c.mu.Lock()
 	untaken := c.state == connIdle && !c.ending
 	if untaken {
-		c.shutLocked(within)
+		c.shutLocked(within, closedUnfinished)
 	}
 	c.mu.Unlock()
 	return untaken
@@ -219,22 +233,23 @@
 
 // Close ends the connection; net/http calls it last.
 func (c *clientConn) Close() error {
-	c.closeWith(endIn)
+	c.closeWith(endIn, closedByServer)
 	return nil
 }
 
-func (c *clientConn) closeWith(within time.Duration) {
+func (c *clientConn) closeWith(within time.Duration, why closeReason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ending {
-		c.shutLocked(within)
+		c.shutLocked(within, why)
 	}
 }
 
 // shutLocked closes the connection, once, without taking from the client what was
 // written to it; it does not wait for that. From now on net/http reads nothing
 // more from it, so that no request is taken that comes after its shutdown.
-func (c *clientConn) shutLocked(within time.Duration) {
+func (c *clientConn) shutLocked(within time.Duration, why closeReason) {
+	c.why = why
 	c.state, c.ending = connClosed, true
 	if c.gone.Load() { // nobody is there to lose anything
 		within = 0
@@ -268,7 +283,7 @@
 // reset closes the connection in a way that its client can tell from an end.
 func (c *clientConn) reset() {
 	c.SetLinger(0)
-	c.closeWith(0)
+	c.closeWith(0, closedCut)
 }
 
 // cutShort bounds how long the rest of a request is read that is not taken.
@@ -280,6 +295,13 @@
 	}
 }
 
+// isEnding says whether the connection has been closed here.
+func (c *clientConn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
 // isIdle says whether no request of the connection has been taken.
 func (c *clientConn) isIdle() bool {
 	c.mu.Lock()
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -51,7 +51,7 @@
 	listener *limitedListener
 	server   *http.Server
 
-	taken, rejected, left atomic.Uint64
+	taken, rejected, left, unanswered atomic.Uint64
 }
 
 // Counters tell what came.
@@ -61,11 +61,25 @@
 	Rejected    uint64 // requests that were wrong
 	Left        uint64 // clients that left before their answer
 	Failed      uint64 // accepts that failed
+
+	// Connections that were closed, by reason: see closeReason.
+	ClosedByServer, ClosedIdle, ClosedDrain, ClosedSilent, ClosedUnfinished, ClosedCut uint64
+
+	// ClosedUnanswered counts connections that were closed here under a request that was
+	// taken. It stays 0.
+	ClosedUnanswered uint64
 }
 
 // Counters returns what was counted so far.
 func (s *Front) Counters() Counters {
-	return Counters{s.listener.accepted.Load(), s.taken.Load(), s.rejected.Load(), s.left.Load(), s.listener.Failures()}
+	closes := &s.listener.closes
+	return Counters{
+		Connections: s.listener.accepted.Load(), Taken: s.taken.Load(), Rejected: s.rejected.Load(), Left: s.left.Load(),
+		Failed:         s.listener.Failures(),
+		ClosedByServer: closes[closedByServer].Load(), ClosedIdle: closes[closedIdle].Load(), ClosedDrain: closes[closedDrain].Load(),
+		ClosedSilent: closes[closedSilent].Load(), ClosedUnfinished: closes[closedUnfinished].Load(), ClosedCut: closes[closedCut].Load(),
+		ClosedUnanswered: s.unanswered.Load(),
+	}
 }
 
 // New makes a Front on a listener; Serve starts it.
@@ -148,6 +162,10 @@
 		s.core.Abandon(r)
 		panic(http.ErrAbortHandler) // nobody is there to answer: the connection ends
 	}
+	if c.isEnding() && !c.gone.Load() {
+		s.unanswered.Add(1)
+		slog.Error("a rule was broken", "rule", "closed_unanswered", "request", r.ID)
+	}
 	// A client that does not read by then has given up; its answer is not held for it.
 	http.NewResponseController(w).SetWriteDeadline(r.Until.Add(writeAfter))
 	s.write(w, a, c)
--- a/internal/front/httpfront/front_test.go
+++ b/internal/front/httpfront/front_test.go
@@ -50,14 +50,14 @@
 		return false
 	}
 	closed, open := &clientConn{TCPConn: &net.TCPConn{}, closed: func(*clientConn) {}}, &clientConn{TCPConn: &net.TCPConn{}, closed: func(*clientConn) {}}
-	closed.closeIdle(endIn)
+	closed.closeIdle(endIn, closedIdle)
 	if !serve(closed) || k.taken > 0 {
 		t.Error("a request of a connection that was closed as idle was taken")
 	}
 	if serve(open) || k.taken != 1 {
 		t.Error("a request of an open connection was not taken")
 	}
-	open.closeIdle(endIn)
+	open.closeIdle(endIn, closedIdle)
 	if open.state != connBusy {
 		t.Error("a connection was closed under a request that had been taken")
 	}
@@ -160,7 +160,7 @@
 		}
 		read <- err
 	}()
-	c.closeIdle(endIn)
+	c.closeIdle(endIn, closedIdle)
 	go func() { // net/http sets deadlines of its own meanwhile
 		for t.Context().Err() == nil {
 			c.SetReadDeadline(time.Now().Add(time.Hour))
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -24,6 +24,7 @@
 	*sockets.PatientListener
 	most     int
 	accepted atomic.Uint64
+	closes   [closeReasons]atomic.Uint64
 
 	mu       sync.Mutex
 	freed    *sync.Cond
@@ -123,7 +124,7 @@
 func dropUntaken(c *clientConn) bool { return c.closeUntaken(0) }
 
 // pressIdle closes an idle connection, to which an answer may be on its way.
-func pressIdle(c *clientConn) bool { return c.closeIdle(pressedIn) }
+func pressIdle(c *clientConn) bool { return c.closeIdle(pressedIn, closedIdle) }
 
 // release notes that a connection has been closed; nil: none came of the room.
 func (l *limitedListener) release(c *clientConn) {
@@ -133,6 +134,9 @@
 		l.leaving--
 	}
 	l.mu.Unlock()
+	if c != nil {
+		l.closes[c.why].Add(1)
+	}
 	l.freed.Signal()
 }
 
@@ -142,7 +146,7 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for _, c := range l.idle {
-		c.closeIdle(endIn)
+		c.closeIdle(endIn, closedDrain)
 	}
 }
 
@@ -157,7 +161,7 @@
 		open, now := l.open, time.Now()
 		for _, c := range l.begun {
 			if c.isIdle() && c.silent(now) {
-				c.closeIdle(endIn)
+				c.closeIdle(endIn, closedSilent)
 			}
 		}
 		l.mu.Unlock()
@@ -176,7 +180,7 @@
 // no request has begun.
 func (l *limitedListener) closeLongestIdle() {
 	for i, c := range l.idle {
-		if c.closeIdle(endIn) {
+		if c.closeIdle(endIn, closedIdle) {
 			l.idle = slices.Delete(l.idle, i, i+1)
 			return
 		}
@@ -207,7 +211,7 @@
 	case http.StateIdle:
 		c.answered()
 		if l.idle = append(l.idle, c); l.draining {
-			c.closeIdle(endIn)
+			c.closeIdle(endIn, closedDrain)
 		} else if len(l.idle) > l.most*idlePart/10 {
 			l.closeLongestIdle()
 		}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -37,6 +37,7 @@
 	Zones       []string
 	LoadField   string        // a load report's name for the number of requests held
 	DialTimeout time.Duration // a connection not made by then never comes
+	DrainGrace  time.Duration // after the news of a drain nothing may begin later than this
 	ConnIdle    time.Duration // upstreams close a connection that was idle this long
 }
 
@@ -148,6 +149,7 @@
 		Tenants:     s.Names("orgs"),
 		Zones:       s.Words("zones"),
 		DialTimeout: s.Duration("caps.dial_timeout_ms", defaultDialTimeout),
+		DrainGrace:  s.Duration("rules.stop_sending_within_ms", core.DefaultDrainGrace),
 		ConnIdle:    s.Duration("caps.conn_idle_ms", defaultConnIdle),
 	}
 	if columns, i := s.Words("telemetry.columns"), s.InFlightColumn(); i >= 0 {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -39,6 +39,14 @@
 			return // it is ending
 		}
 		s.Counters("decisions_total", "What the decision module did, as the README's counters.", "decision", state.Counters)
+		s.Counters("violations_total", "Rules that were broken, as the run-time checks saw it.", "rule", k.Checks())
+		s.Counters("withheld_total", "Attempts that a guard kept from beginning, by reason.", "reason", k.Withheld())
+		for reason, n := range k.GivenUp() {
+			s.Count("given_up_total", "Requests refused or failed by the decision module, by reason.", float64(n), "reason", reason)
+		}
+		for ending, n := range k.Endings() {
+			s.Count("attempts_total", "Attempts that ended, by how.", float64(n), "ending", ending)
+		}
 		s.Gauge("requests", "Requests that are held.", float64(state.Requests))
 		s.Gauge("nodes", "Nodes that are listed.", float64(state.Hosts))
 		for i := range state.SlotsFree {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -100,7 +100,7 @@
 	if n := int(c.Operator.Limits.Slots); n > 0 {
 		p.Slots = n
 	}
-	k, err := core.New(core.Config{Policy: p, Seed: c.Seed, Zones: c.Zones, Known: c.known(), Reach: reach, Answered: answered(figures)})
+	k, err := core.New(core.Config{Policy: p, Seed: c.Seed, Zones: c.Zones, Known: c.known(), Reach: reach, DrainGrace: c.DrainGrace, Answered: answered(figures)})
 	if err != nil {
 		return err
 	}
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -165,6 +165,7 @@
 	if n, err := c.Write(c.out.Bytes()); n < c.out.Len() {
 		return a, false, fmt.Errorf("write request: %w", err)
 	}
+	m.Began(time.Now(), left)
 	if a.Response, a.head, err = c.readHead(); err == nil {
 		c.limit.N = maxAnswerBody + 1
 		err = a.readBody(c)
--- a/internal/transport/rpcnode/conn.go
+++ b/internal/transport/rpcnode/conn.go
@@ -19,6 +19,9 @@
 	result *msgrpc.Result
 }
 
+// framer appends a request of some id, which is waited for as long as left says.
+type framer func(b []byte, id uint32, left time.Duration) []byte
+
 type stage int
 
 const (
@@ -30,7 +33,10 @@
 // exchange is one request on a connection.
 type exchange struct {
 	id    uint32
-	frame []byte
+	frame framer        // makes its frame once it is written: what is left by then is told
+	until time.Time     // when it is given up; zero: it is not
+	told  time.Duration // how long the node was told that it is waited for
+	size  int           // of its frame
 	m     *core.Message // whose attempt it is; nil: a probe
 	sent  time.Time
 	stage stage
@@ -97,20 +103,31 @@
 }
 
 // enqueue puts a request in line; nil says that the connection takes none any more.
-func (c *conn) enqueue(m *core.Message, frame func(b []byte, id uint32) []byte) *exchange {
+func (c *conn) enqueue(m *core.Message, frame framer, until time.Time) *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.takesLocked(time.Now()) {
 		return nil
 	}
-	x := &exchange{id: c.newIDLocked(), m: m, done: make(chan reply, 1), sent: time.Now()}
-	x.frame = frame(nil, x.id)
+	x := &exchange{id: c.newIDLocked(), frame: frame, until: until, m: m, done: make(chan reply, 1), sent: time.Now()}
 	c.open[x.id] = x
 	c.queue = append(c.queue, x)
 	c.signal()
 	return x
 }
 
+// append appends the frame to what is to be written now.
+func (x *exchange) append(b []byte, now time.Time) []byte {
+	x.told = longestWait
+	if !x.until.IsZero() {
+		x.told = max(x.until.Sub(now), time.Millisecond)
+	}
+	before := len(b)
+	b = x.frame(b, x.id, x.told)
+	x.size = len(b) - before
+	return b
+}
+
 // newIDLocked gives an id for which no answer can come any more. They run on,
 // so that one comes again after 2^32 requests at the earliest, and those that
 // are still owed an answer are passed over even then.
@@ -268,7 +285,7 @@
 					by = x.m.By
 				}
 				x.stage = writing
-				b = append(b, x.frame...)
+				b = x.append(b, now)
 				batch = append(batch, x)
 			}
 			c.queue = c.queue[:0]
@@ -305,12 +322,14 @@
 func (c *conn) wrote(batch []*exchange, n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	end := 0
+	end, now := 0, time.Now()
 	for _, x := range batch {
-		end += len(x.frame)
-		x.frame = nil
+		end += x.size
 		if err == nil || end <= n {
 			x.stage = written
+			if x.m != nil {
+				x.m.Began(now, x.told)
+			}
 		} else {
 			x.stage = queued
 		}
--- a/internal/transport/rpcnode/transport.go
+++ b/internal/transport/rpcnode/transport.go
@@ -49,7 +49,9 @@
 	runsOn = time.Second
 	// partAnswer is how long an answer may take from its first byte to its last.
 	partAnswer = 5 * time.Second
-	idleMargin = 2 * time.Second // kept to ConnIdle, as a request may cross the close
+	// longestWait is what a node is told where an attempt has no end.
+	longestWait = time.Hour
+	idleMargin  = 2 * time.Second // kept to ConnIdle, as a request may cross the close
 )
 
 // Counters tell what came that no attempt waited for.
@@ -134,11 +136,7 @@
 
 // Try carries an attempt out.
 func (n *node) Try(ctx context.Context, m *core.Message) (policy.Ending, *core.Answer) {
-	r, wrote := n.exchange(ctx, m, func(b []byte, id uint32) []byte {
-		left := time.Hour
-		if until, ok := ctx.Deadline(); ok {
-			left = max(time.Until(until), time.Millisecond)
-		}
+	r, wrote := n.exchange(ctx, m, func(b []byte, id uint32, left time.Duration) []byte {
 		return outgoing(m, left).Append(b, id)
 	})
 	switch {
@@ -167,7 +165,9 @@
 	unknown := policy.Load{InFlight: -1}
 	ctx, cancel := context.WithTimeout(ctx, n.t.cfg.DialTimeout)
 	defer cancel()
-	r, _ := n.exchange(ctx, nil, func(b []byte, id uint32) []byte { return msgrpc.AppendPlain(b, id, msgrpc.MethodProbe) })
+	r, _ := n.exchange(ctx, nil, func(b []byte, id uint32, _ time.Duration) []byte {
+		return msgrpc.AppendPlain(b, id, msgrpc.MethodProbe)
+	})
 	switch {
 	case r.err != nil && sockets.Local(r.err):
 		return unknown, fmt.Errorf("%w: %w", core.ErrNotBegun, r.err)
@@ -181,8 +181,9 @@
 
 // exchange sends one request and waits for its answer. wrote tells whether the
 // request's last byte may have been written; only then can the node have begun it.
-func (n *node) exchange(ctx context.Context, m *core.Message, frame func(b []byte, id uint32) []byte) (r reply, wrote bool) {
+func (n *node) exchange(ctx context.Context, m *core.Message, frame framer) (r reply, wrote bool) {
 	reach := ctx
+	until, _ := ctx.Deadline()
 	if m != nil && !m.By.IsZero() {
 		var cancel context.CancelFunc
 		reach, cancel = context.WithDeadline(ctx, m.By)
@@ -193,7 +194,7 @@
 		if err != nil {
 			return reply{err: err}, false
 		}
-		if x := c.enqueue(m, frame); x != nil {
+		if x := c.enqueue(m, frame, until); x != nil {
 			return c.wait(ctx, x)
 		}
 		// It was closed or filled meanwhile: the next one.
--- a/internal/transport/rpcnode/transport_test.go
+++ b/internal/transport/rpcnode/transport_test.go
@@ -304,12 +304,13 @@
 // One that was never handed to the socket is told apart from one that was.
 func TestUnwrittenNeverRan(t *testing.T) {
 	c := newConn(&node{t: testTransport(Config{})}, &net.TCPConn{})
-	frame := func(b []byte, id uint32) []byte { return append(b, make([]byte, 10)...) }
+	frame := func(b []byte, _ uint32, _ time.Duration) []byte { return append(b, make([]byte, 10)...) }
 	var all []*exchange
 	for range 4 {
-		all = append(all, c.enqueue(nil, frame))
+		all = append(all, c.enqueue(nil, frame, time.Time{}))
 	}
 	for _, x := range all[:3] {
+		x.append(nil, time.Now())
 		x.stage = writing
 	}
 	c.queue = c.queue[3:]
@@ -461,7 +462,7 @@
 // Giving up while nothing was written is no word against the node, and nothing is written later.
 func TestGivenUpInLineIsNotSent(t *testing.T) {
 	c := newConn(&node{t: testTransport(Config{})}, &net.TCPConn{})
-	x := c.enqueue(nil, func(b []byte, id uint32) []byte { return append(b, 1) })
+	x := c.enqueue(nil, func(b []byte, _ uint32, _ time.Duration) []byte { return append(b, 1) }, time.Time{})
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	if r, wrote := c.wait(ctx, x); wrote || r.err == nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -99,6 +99,10 @@
 	unknown := q.Class < 0 || q.Class >= len(b.classes) || q.Tenant < 0 || q.Tenant >= len(b.parts)
 	if unknown || q.Left <= 0 || b.quit {
 		b.count.Refused++
+		b.reason = UnknownClass
+		if b.quit {
+			b.reason = ProcessEnds
+		}
 		b.host.Refuse(q.ID, 0)
 		return
 	}
@@ -123,13 +127,13 @@
 	}
 	if b.thin && (late || b.shed(now, r)) {
 		b.count.Shed++
-		b.finish(r)
+		b.finish(r, either(late, Late, Shed))
 		return
 	}
 	switch {
 	case b.dispatch(now, r):
 	case late || len(r.home.queue) >= r.home.places:
-		b.finish(r) // full: refuse promptly
+		b.finish(r, either(late, Late, QueueFull)) // refuse promptly
 	default:
 		r.home.queue = append(r.home.queue, r)
 	}
@@ -195,7 +199,7 @@
 		}
 		waited := r.out == 0 && (soon > r.deadline || now >= r.lateIn() || !r.mayRepeat(now, nil))
 		if !r.over && !r.begun && (waited || now >= r.deadline) {
-			b.finish(r)
+			b.finish(r, WaitedTooLong)
 		}
 	}
 	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
@@ -212,7 +216,7 @@
 	b.quit = true
 	for _, r := range b.open {
 		if !r.over && !r.begun {
-			b.finish(r)
+			b.finish(r, ProcessEnds)
 		}
 	}
 }
@@ -253,12 +257,31 @@
 func (b *Balancer) further(now time.Duration, r *request) {
 	switch tries := max(len(r.attempts), len(r.knocked)/knocks); {
 	case r.unheard > 0 || tries >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn():
-		b.finish(r)
+		b.finish(r, b.whyNoFurther(now, r))
 	case !b.dispatch(now, r):
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
 	}
 }
 
+// whyNoFurther says why a request gets no further attempt.
+func (b *Balancer) whyNoFurther(now time.Duration, r *request) Reason {
+	switch {
+	case !r.mayRepeat(now, nil):
+		return MayNotRepeat
+	case now >= r.lateIn():
+		return Late
+	}
+	return AttemptsSpent
+}
+
+// either returns the one or the other reason.
+func either(is bool, one, other Reason) Reason {
+	if is {
+		return one
+	}
+	return other
+}
+
 // feed gives free slots to what waits, one compartment after the other.
 func (b *Balancer) feed(now time.Duration) {
 	b.feedFrom = (b.feedFrom + 1) % len(b.parts)
@@ -267,7 +290,7 @@
 		for n := 0; n < len(c.queue) && c.used < c.slots; {
 			switch r := c.queue[n]; {
 			case now >= r.lateIn():
-				b.finish(r) // which takes it out of the queue
+				b.finish(r, WaitedTooLong) // which takes it out of the queue
 			case b.dispatch(now, r):
 				c.queue = slices.Delete(c.queue, n, n+1)
 			default:
@@ -399,7 +422,8 @@
 }
 
 // finish is the one place that answers: refused where that is true, failed where it is not.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(r *request, why Reason) {
+	b.reason = why
 	if r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
 		b.count.Refused++
 		pause := time.Duration((1 + b.rng.Float64()) * float64(b.pace)) // spread: not all at once
--- a/policy/state.go
+++ b/policy/state.go
@@ -109,6 +109,7 @@
 	thin     bool    // own traffic tells too little of a server's load
 	probes   int
 	quit     bool // nothing is taken any more
+	reason   Reason
 	count    Counters
 }
 
