Place a server's start by all the evidence there is, not by one reading of the wall clock

Change: policy.StartedAt takes the youngest of what the clock of the start, the wall clock now and, where the list held told another start or did not name the server, the moment at which that list was last known to hold (core.News.Confirmed, from the watch's signs of life) say. The last needs no wall clock; it counts where the others are over 3 s older than it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,7 @@
 	byID     map[policy.ServerID]*host
 	sites    map[string]int
 	nextSite int
+	listed   bool // a list was told, beside the one of the start
 }
 
 const (
@@ -439,6 +440,10 @@
 // list takes news of the list over and passes them to the module.
 func (l *Core) list(kind policy.ListKind, news News) {
 	servers := make([]policy.Server, 0, len(news.Instances))
+	confirmed := time.Duration(0)
+	if !news.Confirmed.IsZero() {
+		confirmed = l.now - time.Since(news.Confirmed)
+	}
 	var named map[string]bool // a delta names what it changes, and that alone
 	if kind != policy.ListDelta {
 		named = make(map[string]bool, len(news.Instances))
@@ -447,7 +452,7 @@
 		if named[e.Name] {
 			slog.Warn("discovery: host listed twice", "host", e.Name)
 		}
-		if s, ok := l.enter(e); ok {
+		if s, ok := l.enter(e, confirmed); ok {
 			if named != nil {
 				named[e.Name] = true
 			}
@@ -474,6 +479,7 @@
 	if len(l.hosts) > 0 || kind != policy.ListCached {
 		l.ready.Store(true)
 	}
+	l.listed = l.listed || kind != policy.ListCached
 }
 
 func (l *Core) forget(name string, h *host) {
@@ -502,11 +508,12 @@
 
 // enter takes one entry of the list over. A word for its health that is not
 // known means nothing new, as draining does.
-func (l *Core) enter(e Instance) (policy.Server, bool) {
+func (l *Core) enter(e Instance, confirmed time.Duration) (policy.Server, bool) {
 	if e.Name == "" {
 		return policy.Server{}, false
 	}
 	h := l.hosts[e.Name]
+	appeared := h == nil && l.listed
 	if _, err := netip.ParseAddrPort(e.Addr); err != nil {
 		if h == nil || e.Health == Up {
 			return policy.Server{}, false
@@ -521,10 +528,12 @@
 		h.node.Retire()
 		h.node = l.config.Reach(e)
 	}
-	// A start ahead of this machine's clock would keep an upstream cold for too
-	// long; it is taken for now, and stays so while the entry names the same start.
+	// Where it was placed, a start stays while the entry names the same one.
 	if h.entry.Started != e.Started || h.started == 0 {
-		h.started = min(max(e.Started, 0), l.now)
+		h.started = policy.StartedAt(policy.StartEvidence{
+			Told: e.Started, Now: l.now, Wall: time.Duration(time.Now().UnixNano()),
+			Changed: appeared || h.entry.Name != "" && h.entry.Started != e.Started, ConfirmedAt: confirmed,
+		})
 	}
 	h.entry = e
 	if e.Health == Up {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -144,7 +144,7 @@
 func TestEntriesBecomeServers(t *testing.T) {
 	l := newTestLoop(t)
 	enter := func(e Instance) policy.Server {
-		s, ok := l.enter(e)
+		s, ok := l.enter(e, 0)
 		if !ok {
 			t.Fatalf("%+v was passed over", e)
 		}
@@ -180,14 +180,14 @@
 func TestEarlierStartIsNotLongAgo(t *testing.T) {
 	l := newTestLoop(t)
 	born := time.Duration(time.Now().Add(-2 * time.Second).UnixNano())
-	s, ok := l.enter(Instance{Name: "s-1", Addr: "127.0.0.1:7", Health: Up, Started: born})
+	s, ok := l.enter(Instance{Name: "s-1", Addr: "127.0.0.1:7", Health: Up, Started: born}, 0)
 	if age := l.clock() - s.Started; !ok || s.Started <= 0 || age < time.Second || age > peertest.Patience {
 		t.Errorf("started at %v, %v ago by the module's clock", s.Started, age)
 	}
 	ahead := Instance{Name: "s-2", Addr: "127.0.0.1:7", Health: Up, Started: time.Duration(time.Now().Add(time.Hour).UnixNano())}
-	first, _ := l.enter(ahead)
+	first, _ := l.enter(ahead, 0)
 	l.now = l.clock() + time.Second
-	if again, _ := l.enter(ahead); first.Started > l.now || again.Started != first.Started {
+	if again, _ := l.enter(ahead, 0); first.Started > l.now || again.Started != first.Started {
 		t.Errorf("a start ahead of the clock is %v and then %v", first.Started, again.Started)
 	}
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -163,8 +163,10 @@
 
 // News is what a source has to tell: the whole list or what changed.
 type News struct {
-	Version   uint64 // the source's own
-	Whole     bool
+	Version uint64 // the source's own
+	Whole   bool
+	// Confirmed is when the list before these news was last known to hold; zero: not known.
+	Confirmed time.Time
 	Instances []Instance
 }
 
--- a/internal/registry/platform/platform.go
+++ b/internal/registry/platform/platform.go
@@ -100,6 +100,8 @@
 
 	schedule *resolver.Schedule // of the calls
 	began    time.Time          // where its time begins
+
+	heardAt time.Time // the last sign of life: the list held was known to hold then
 }
 
 // New follows the discovery at an address, on from the list as last held, if
@@ -245,6 +247,7 @@
 	defer body.Close()
 	s.follow(body)
 	s.blank = func() {
+		d.heardAt = time.Now()
 		if !heard {
 			d.deliver(core.News{Version: d.seq}) // the watch is up and nothing has changed: the module's call went well
 		}
@@ -343,6 +346,8 @@
 		l.Hosts = nil
 	}
 	d.listed, d.held, d.seq = true, true, l.Seq
-	d.deliver(l.News())
+	news := l.News()
+	news.Confirmed, d.heardAt = d.heardAt, time.Now()
+	d.deliver(news)
 	return nil
 }
