Count the time that a request waited while the process was stopped

The arrival of a request was the moment at which its bytes were read.

Change: the core's loop wakes ten times a second; where it did not run for 0.3 s, what is read until 0.1 s after that counts as come when the loop ran last (Core.Arrived), on both fronts. A line in the log says for how long the process did not run.

A stop of 0.15 to 0.3 s is not seen.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,7 +130,9 @@
 	byID     map[policy.ServerID]*host
 	sites    map[string]int
 	nextSite int
-	listed   bool // a list was told, beside the one of the start
+	alive    atomic.Int64          // when the loop handled something last, since begin
+	stalled  atomic.Pointer[stall] // the last one
+	listed   bool                  // a list was told, beside the one of the start
 }
 
 const (
@@ -205,6 +207,32 @@
 // Ready says whether a list is held.
 func (l *Core) Ready() bool { return l.ready.Load() }
 
+const (
+	// stalledAfter is how long the loop may be silent in a process that runs: it wakes
+	// ten times a second with nothing to do.
+	stalledAfter = 300 * time.Millisecond
+	// caughtUpIn is how long after a stall bytes may be read that came during it.
+	caughtUpIn = 100 * time.Millisecond
+)
+
+// Arrived returns when bytes may have come at the earliest that were read just now.
+// Where the process was stopped, or had no processor, they may have waited since.
+func (l *Core) Arrived(now time.Time) time.Time {
+	alive, stalled := l.begin.Add(time.Duration(l.alive.Load())), l.stalled.Load()
+	switch {
+	case l.alive.Load() == 0:
+		return now
+	case now.Sub(alive) >= stalledAfter:
+		return alive
+	case stalled != nil && now.Sub(stalled.until) < caughtUpIn:
+		return stalled.from
+	}
+	return now
+}
+
+// stall is a time in which the loop did not run.
+type stall struct{ from, until time.Time }
+
 // Holds says whether a request of that name is held.
 func (l *Core) Holds(name string) bool { return l.names.has(name) }
 
@@ -307,10 +335,10 @@
 			l.log()
 			return
 		case e := <-l.events:
-			l.now = l.clock()
+			l.tick()
 			l.handle(e)
 		case <-l.timer.C:
-			l.now = l.clock()
+			l.tick()
 			l.wake()
 		case <-logTick.C:
 			l.log()
@@ -323,6 +351,16 @@
 	}
 }
 
+// tick notes the time of the event that is handled next.
+func (l *Core) tick() {
+	l.now = l.clock()
+	now := l.now - l.beginNow
+	if was := time.Duration(l.alive.Swap(int64(now))); was > 0 && now-was >= stalledAfter {
+		l.stalled.Store(&stall{l.begin.Add(was), l.begin.Add(now)})
+		slog.Warn("the process did not run", "for", now-was)
+	}
+}
+
 func (l *Core) wake() {
 	if l.dueAt == 0 {
 		return
--- a/internal/front/httpfront/conn.go
+++ b/internal/front/httpfront/conn.go
@@ -25,12 +25,13 @@
 type clientConn struct {
 	*net.TCPConn
 	accepted time.Time
-	closed   func(*clientConn) // hears of its end, once
-	came     atomic.Int64      // after accepted, in ns: when something was read from it last
-	heard    atomic.Bool       // something was read from it
-	gone     atomic.Bool       // its client has closed it
-	active   atomic.Bool       // net/http answers a request of it
-	flooded  atomic.Bool       // more than aheadMost came behind a request
+	closed   func(*clientConn)         // hears of its end, once
+	arrived  func(time.Time) time.Time // see Config.Arrived; may be nil
+	came     atomic.Int64              // after accepted, in ns: when something was read from it last
+	heard    atomic.Bool               // something was read from it
+	gone     atomic.Bool               // its client has closed it
+	active   atomic.Bool               // net/http answers a request of it
+	flooded  atomic.Bool               // more than aheadMost came behind a request
 	framing  http1.Framing
 	in       *sockets.NotingReader // the reader's
 	starts   bool                  // a request has begun with what was read last; the reader's
@@ -110,8 +111,12 @@
 	}
 	if n > 0 {
 		c.framing.Feed(b[:n])
+		came := time.Now()
+		if c.arrived != nil {
+			came = c.arrived(came)
+		}
+		c.came.Store(int64(came.Sub(c.accepted)))
 		c.heard.Store(true)
-		c.came.Store(int64(time.Since(c.accepted)))
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
 		c.gone.Store(true)
@@ -167,7 +172,7 @@
 // arrival is when the request had come whose header was just read: one that was
 // behind another has waited, and its client counts that.
 func (c *clientConn) arrival(now time.Time) time.Time {
-	if came := c.accepted.Add(time.Duration(c.came.Load())); came.Before(now) && c.came.Load() > 0 {
+	if came := c.accepted.Add(time.Duration(c.came.Load())); came.Before(now) && c.heard.Load() {
 		return came
 	}
 	return now
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -40,6 +40,9 @@
 	Effects     []policy.Effect
 	Tenants     []string // empty: there is one, and requests need not name it
 	Connections int      // the most that are open at once
+	// Arrived returns when bytes that were read just now may have come at the earliest;
+	// nil: now.
+	Arrived func(now time.Time) time.Time
 }
 
 // Front is the HTTP/1.1 side towards the application.
@@ -88,6 +91,7 @@
 		core: k, effects: c.Effects, classes: core.Numbers(c.Classes), tenants: core.Numbers(c.Tenants),
 		listener: limitListener(ln, c.Connections),
 	}
+	s.listener.arrived = c.Arrived
 	// There is no ReadTimeout: that would also end the watch for clients that
 	// leave, as if they had left.
 	s.server = &http.Server{
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -25,6 +25,7 @@
 	most     int
 	accepted atomic.Uint64
 	closes   [closeReasons]atomic.Uint64
+	arrived  func(time.Time) time.Time // see Config.Arrived
 
 	mu       sync.Mutex
 	freed    *sync.Cond
@@ -66,7 +67,7 @@
 		}
 		if tcp, ok := c.(*net.TCPConn); ok {
 			l.accepted.Add(1)
-			return &clientConn{TCPConn: tcp, accepted: time.Now(), closed: l.release}, nil
+			return &clientConn{TCPConn: tcp, accepted: time.Now(), closed: l.release, arrived: l.arrived}, nil
 		}
 		slog.Error("a connection that is not TCP was closed", "kind", fmt.Sprintf("%T", c))
 		c.Close()
--- a/internal/front/rpcfront/conn.go
+++ b/internal/front/rpcfront/conn.go
@@ -139,7 +139,11 @@
 			}
 			return
 		}
-		if !c.take(frame, time.Now()) {
+		arrival := time.Now()
+		if c.front.cfg.Arrived != nil {
+			arrival = c.front.cfg.Arrived(arrival)
+		}
+		if !c.take(frame, arrival) {
 			return
 		}
 		c.noteTaken(in.Buffered())
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -28,11 +28,12 @@
 type Config struct {
 	Classes     []string // names by number
 	Effects     []policy.Effect
-	Tenants     []string // empty: there is one, and requests need not name it
-	Connections int      // the most that are open at once
-	Open        int      // requests of one connection that are taken and not answered; more are refused
-	Held        int      // bytes of answers that wait for one client to read; beyond, its new requests are refused
-	Texts       bool     // errors are written as texts, for codecs that read no maps there
+	Tenants     []string                      // empty: there is one, and requests need not name it
+	Connections int                           // the most that are open at once
+	Open        int                           // requests of one connection that are taken and not answered; more are refused
+	Held        int                           // bytes of answers that wait for one client to read; beyond, its new requests are refused
+	Arrived     func(now time.Time) time.Time // when bytes that were read just now may have come at the earliest; nil: now
+	Texts       bool                          // errors are written as texts, for codecs that read no maps there
 }
 
 // The defaults of Config.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -146,7 +146,7 @@
 	loops.Go(func() { k.Run(run) })
 	go sweep(run, transports)
 
-	fronts := c.fronts(taker, lns, forClients, figures)
+	fronts := c.fronts(taker, k.Arrived, lns, forClients, figures)
 	served := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { served <- f.Serve() }()
@@ -174,9 +174,9 @@
 }
 
 // fronts makes the front of each listener; they share the clients' connections evenly.
-func (c *Config) fronts(k core.Taker, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
+func (c *Config) fronts(k core.Taker, arrived func(time.Time) time.Time, lns []net.Listener, connections int, figures *metrics.Metrics) []front {
 	each, effects := connections/len(lns), c.effects()
-	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each}
+	overHTTP := httpfront.Config{Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Arrived: arrived}
 	fronts := make([]front, len(lns))
 	for i, ln := range lns {
 		l := operator.Listener{Protocol: operator.HTTP} // the platform's
@@ -189,7 +189,7 @@
 			fronts[i], counts = f, func() any { return f.Counters() }
 		} else {
 			f := rpcfront.New(rpcfront.Config{
-				Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each,
+				Classes: c.Classes, Effects: effects, Tenants: c.Tenants, Connections: each, Arrived: arrived,
 				Open: int(l.Open), Held: int(l.Held), Texts: l.Errors == operator.ErrorTexts,
 			}, k, ln)
 			fronts[i], counts = f, func() any { return f.Counters() }
