--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// mood is how a node or the way to it behaves.
+type mood int
+
+// The moods.
+const (
+	well      mood = iota
+	hangs          // takes requests and answers none
+	resets         // resets connections under requests, before or in the middle of answers
+	slow           // takes up to most of a deadline
+	spoils         // answers in all forms, good and bad
+	late           // connections come up late
+	breaks         // answers 500, or turns away
+	forgetful      // closes idle connections at once
+	moods
+)
+
+// node is a stand-in for an upstream, and the way to it.
+type node struct {
+	world *world
+	name  string
+	ln    net.Listener
+
+	mu       sync.Mutex
+	mood     mood
+	born     time.Time // of its last start; zero: long ago
+	health   string
+	arrivals []time.Time // since it was born
+	conns    map[net.Conn]struct{}
+	rng      *rand.Rand
+}
+
+func (w *world) newNode(name string, seed uint64) (*node, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &node{world: w, name: name, ln: ln, health: "up", conns: make(map[net.Conn]struct{}), rng: rand.New(rand.NewPCG(seed, 7))}
+	go n.accept()
+	return n, nil
+}
+
+func (n *node) accept() {
+	for {
+		c, err := n.ln.Accept()
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		n.conns[c] = struct{}{}
+		delay := time.Duration(0)
+		if n.mood == late {
+			delay = time.Duration(n.rng.Int64N(int64(1500 * time.Millisecond)))
+		}
+		n.mu.Unlock()
+		go func() {
+			time.Sleep(delay)
+			n.serve(c)
+			c.Close()
+			n.mu.Lock()
+			delete(n.conns, c)
+			n.mu.Unlock()
+		}()
+	}
+}
+
+// restart ends all connections and makes the node cold.
+func (n *node) restart() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.born, n.arrivals, n.mood = time.Now(), nil, well
+	for c := range n.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (n *node) setMood(m mood) {
+	n.mu.Lock()
+	n.mood = m
+	n.mu.Unlock()
+}
+
+func (n *node) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(req.Body); err != nil {
+			return
+		}
+		if id := req.Header.Get("Request-Id"); id == "" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		} else if !n.handle(c, id, req) {
+			return
+		}
+	}
+}
+
+// handle carries a request out; false ends its connection.
+func (n *node) handle(c net.Conn, id string, req *http.Request) bool {
+	seconds, _ := strconv.ParseFloat(req.Header.Get("Request-Timeout"), 64)
+	told := time.Duration(seconds * float64(time.Second))
+	n.mu.Lock()
+	m, draw, pause := n.mood, n.rng.IntN(100), time.Duration(2+n.rng.IntN(8))*time.Millisecond
+	long := time.Duration(n.rng.Int64N(int64(max(told, 1))))
+	n.arrivals = append(n.arrivals, time.Now())
+	n.mu.Unlock()
+	n.world.reachedNode(n, id)
+	turned := m == breaks && draw < 50
+	n.world.judge.reached(n.name, id, told, !turned)
+	time.Sleep(pause)
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	switch {
+	case m == hangs:
+		io.Copy(io.Discard, c) // until the other side closes
+		return false
+	case m == slow:
+		time.Sleep(long)
+	case m == resets && draw < 40:
+		c.(*net.TCPConn).SetLinger(0)
+		if draw < 20 {
+			io.WriteString(c, whole[:len(whole)/2])
+		}
+		return false
+	case turned:
+		io.WriteString(c, "HTTP/1.1 503 x\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case m == breaks:
+		io.WriteString(c, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
+		return true
+	case m == spoils:
+		return n.spoil(c, draw, whole, id)
+	case m == forgetful:
+		io.WriteString(c, whole)
+		time.Sleep(pause)
+		return false
+	}
+	_, err := io.WriteString(c, whole)
+	return err == nil
+}
+
+// spoil answers in one of many forms.
+func (n *node) spoil(c net.Conn, draw int, whole, id string) bool {
+	unsized := "HTTP/1.1 200 OK\r\n\r\n" + id
+	switch draw % 9 {
+	case 0: // no length, closed in order
+		io.WriteString(c, unsized)
+		return false
+	case 1: // no length, reset on the way
+		io.WriteString(c, unsized[:len(unsized)-2])
+		time.Sleep(5 * time.Millisecond)
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	case 2:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id)
+		return true
+	case 3: // cut in the middle of its chunks
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(id), id)
+		return false
+	case 4: // a second answer some milliseconds late
+		io.WriteString(c, whole)
+		time.Sleep(4 * time.Millisecond)
+		io.WriteString(c, strings.Replace(whole, id, strings.Repeat("x", len(id)), 1))
+		return true
+	case 5:
+		io.WriteString(c, "\x00\x01 no HTTP at all\r\n\r\n")
+		return false
+	case 6: // byte by byte
+		for i := range len(whole) {
+			if _, err := io.WriteString(c, whole[i:i+1]); err != nil {
+				return false
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+		return true
+	case 7: // two lengths
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id)
+		return true
+	}
+	io.WriteString(c, whole[:len(whole)-1]) // and the end, when its connection ends in order
+	return false
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// sidecar is one real process, under the same name and address through its restarts.
+type sidecar struct {
+	world  *world
+	number int
+	addr   string
+	dir    string
+	agents [2]*agent
+	at     int // which of them the configuration names
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	ended    chan error
+	begun    time.Time // of the process
+	ready    bool
+	stopping time.Time // SIGTERM was sent; zero: it was not
+	killed   bool
+	held     time.Time // it is or was stopped (SIGSTOP) until then
+	movedAt  time.Time // it was told of another discovery
+	unread   bool      // nobody reads its log
+	logs     sync.WaitGroup
+}
+
+// classSettings are those of the classes, in the settings' words.
+func classSettings() []any {
+	var all []any
+	for _, c := range classes {
+		all = append(all, map[string]any{
+			"name": c.name, "semantics": c.effect, "dedup_scope": "all", "window_ms": c.window.Milliseconds(),
+			"aim_ms": c.deadline.Milliseconds() / 2, "hard_limit_ms": c.deadline.Milliseconds(), "worth": 1,
+		})
+	}
+	return all
+}
+
+// The figures of the settings that the judge needs.
+const (
+	fleetQuota   = 400.0 // requests a second of all sidecars and nodes together
+	coldFrom     = 0.3
+	coldFor      = 8 * time.Second
+	fallMultiple = 2.5
+	fallWindow   = time.Second
+)
+
+func (s *sidecar) writeConfig(text []byte) error {
+	return os.WriteFile(filepath.Join(s.dir, "config.json"), text, 0o600)
+}
+
+func (s *sidecar) config() []byte {
+	text, err := json.Marshal(map[string]any{
+		"name": fmt.Sprint("n", s.number), "listen": s.addr, "discovery": s.agents[s.at].addr(), "seed": fmt.Sprintf("%x", 1000+s.number),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": s.world.cfg.Sockets},
+		"settings": map[string]any{
+			"balancers": s.world.cfg.Sidecars,
+			"caps": map[string]any{
+				"may_cancel": true, "probes": s.number%2 == 0, "most_tries": 3, "dial_timeout_ms": 250, "conn_idle_ms": 6000, "max_retry_after_ms": 1200,
+			},
+			"classes": classSettings(), "discovery": "push", "zones": []any{"a"},
+			"orgs":  []any{map[string]any{"name": "north", "share": 1, "quota_per_s": fleetQuota}},
+			"rules": map[string]any{"cold_from": coldFrom, "cold_ms": coldFor.Milliseconds(), "fall_multiple": fallMultiple, "overload_for_ms": fallWindow.Milliseconds(), "stop_sending_within_ms": drainGrace.Milliseconds()},
+		},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// start starts the process. Every third has so few descriptors that it runs out of them,
+// and every fourth a log that nobody reads.
+func (s *sidecar) start() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.writeConfig(s.config()); err != nil {
+		return err
+	}
+	cmd := exec.Command(s.world.cfg.Program)
+	if s.number%3 == 0 { // a shim: less than the settings say
+		cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", s.world.cfg.Sockets/4, s.world.cfg.Program))
+	}
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(s.dir, "config.json"))
+	r, w, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	cmd.Stderr = w
+	if err := cmd.Start(); err != nil {
+		r.Close()
+		w.Close()
+		return err
+	}
+	w.Close()
+	s.unread = s.number%4 == 1
+	s.logs.Go(func() { s.read(r) })
+	s.cmd, s.begun, s.ready, s.stopping, s.killed, s.ended = cmd, time.Now(), false, time.Time{}, false, make(chan error, 1)
+	go func(ended chan<- error) { ended <- cmd.Wait() }(s.ended)
+	return nil
+}
+
+// read keeps the log, and looks for broken rules in it.
+func (s *sidecar) read(r *os.File) {
+	defer r.Close()
+	f, err := os.OpenFile(filepath.Join(s.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		fmt.Fprintln(f, lines.Text())
+		if line := lines.Text(); strings.Contains(line, "a rule was broken") || strings.HasPrefix(line, "panic:") || strings.Contains(line, "DATA RACE") {
+			s.world.judge.breaks(Check, "sidecar %d: %s", s.number, line)
+		}
+		if s.unread {
+			time.Sleep(100 * time.Millisecond) // its pipe fills up
+		}
+	}
+}
+
+// awaitReady waits until clients may begin to send.
+func (s *sidecar) awaitReady(within time.Duration) bool {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp, err := client.Get("http://" + s.addr + "/health/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			s.mu.Lock()
+			s.ready = true
+			s.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+// signal sends a signal to the process.
+func (s *sidecar) signal(sig syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cmd.Process.Signal(sig)
+}
+
+// kill ends the process with what it holds, and starts it anew.
+func (s *sidecar) kill() error {
+	s.mu.Lock()
+	s.killed, s.ready = true, false
+	s.cmd.Process.Kill()
+	ended := s.ended
+	s.mu.Unlock()
+	<-ended
+	if err := s.start(); err != nil {
+		return err
+	}
+	s.awaitReady(readyIn)
+	return nil
+}
+
+// terminate ends the process as a planned restart does. It has to end by itself.
+func (s *sidecar) terminate() {
+	s.mu.Lock()
+	s.stopping = time.Now()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	cmd, ended := s.cmd, s.ended
+	s.mu.Unlock()
+	select {
+	case err := <-ended:
+		if err != nil {
+			s.world.judge.breaks(Crash, "sidecar %d ended with %v", s.number, err)
+		}
+	case <-time.After(killedAfter + scheduling):
+		cmd.Process.Kill()
+		<-ended
+		s.world.judge.breaks(Crash, "sidecar %d had not ended %v after SIGTERM", s.number, killedAfter)
+	}
+	s.mu.Lock()
+	s.ready = false
+	s.mu.Unlock()
+}
+
+// hold stops the process for a while, as a machine that is short of processor does.
+func (s *sidecar) hold(d time.Duration) {
+	s.mu.Lock()
+	s.held = time.Now().Add(d + scheduling)
+	s.mu.Unlock()
+	s.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	s.signal(syscall.SIGCONT)
+}
+
+// hasCrashed says whether the process has ended though nobody told it to.
+func (s *sidecar) hasCrashed() (error, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopping.IsZero() || s.killed && !s.ready {
+		return nil, false
+	}
+	select {
+	case err := <-s.ended:
+		s.ended <- err
+		return err, true
+	default:
+		return nil, false
+	}
+}
+
+// takes says whether clients may send: on connections of their own making, and on those
+// that they have.
+func (s *sidecar) takes() (fresh, kept bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ready {
+		return false, false
+	}
+	return s.stopping.IsZero() || time.Since(s.stopping) < newConnectionsFor, true
+}
+
+// excuses says whether a request that was open from a time on may have no answer: the
+// process was killed, or could not run.
+func (s *sidecar) excuses(from time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.killed || s.begun.After(from) || s.held.After(from)
+}
