--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -203,7 +203,7 @@
 	k.conn.SetReadDeadline(begun.Add(2 * owedIn))
 	io.Copy(io.Discard, k.in)
 	k.drop()
-	if took := time.Since(begun); took > owedIn+scheduling && !k.s.excuses(begun) {
+	if took := time.Since(begun); took > owedIn+w.judge.lag.slack() && !k.s.excuses(begun) {
 		w.judge.breaks(Owed, "%s: its connection ended %v after its first byte", id, took)
 	}
 	return nil
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -69,7 +69,7 @@
 		n.mu.Unlock()
 		go func() {
 			time.Sleep(delay)
-			n.serve(c)
+			n.serve(c, delay)
 			c.Close()
 			n.mu.Lock()
 			delete(n.conns, c)
@@ -95,7 +95,7 @@
 	n.mu.Unlock()
 }
 
-func (n *node) serve(c net.Conn) {
+func (n *node) serve(c net.Conn, delay time.Duration) {
 	in := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(in)
@@ -107,14 +107,16 @@
 		}
 		if id := req.Header.Get("Request-Id"); id == "" {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		} else if !n.handle(c, id, req) {
+		} else if !n.handle(c, id, req, delay) {
 			return
 		}
+		delay = 0
 	}
 }
 
-// handle carries a request out; false ends its connection.
-func (n *node) handle(c net.Conn, id string, req *http.Request) bool {
+// handle carries a request out; false ends its connection. The request may have waited
+// for as long as delay says before it was read.
+func (n *node) handle(c net.Conn, id string, req *http.Request, delay time.Duration) bool {
 	seconds, _ := strconv.ParseFloat(req.Header.Get("Request-Timeout"), 64)
 	told := time.Duration(seconds * float64(time.Second))
 	n.mu.Lock()
@@ -122,9 +124,9 @@
 	long := time.Duration(n.rng.Int64N(int64(max(told, 1))))
 	n.arrivals = append(n.arrivals, time.Now())
 	n.mu.Unlock()
-	n.world.reachedNode(n, id)
+	n.world.reachedNode(n, id, delay)
 	turned := m == breaks && draw < 50
-	n.world.judge.reached(n.name, id, told, !turned)
+	n.world.judge.reached(n.name, id, told, !turned, delay)
 	time.Sleep(pause)
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 	switch {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -187,7 +187,7 @@
 		if err != nil {
 			s.world.judge.breaks(Crash, "sidecar %d ended with %v", s.number, err)
 		}
-	case <-time.After(killedAfter + scheduling):
+	case <-time.After(killedAfter + s.world.judge.lag.slack()):
 		cmd.Process.Kill()
 		<-ended
 		s.world.judge.breaks(Crash, "sidecar %d had not ended %v after SIGTERM", s.number, killedAfter)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,7 @@
 	newConnectionsFor = 400 * time.Millisecond // after SIGTERM
 	killedAfter       = 3700 * time.Millisecond
 	settle            = 4 * time.Second // behind the last request
+	missedFor         = 6 * time.Second // what a watch misses counts as told so long after it fell silent
 )
 
 // world is a soak under way.
@@ -69,6 +70,16 @@
 		told: make(map[string]time.Time), troubles: make(map[string]int),
 	}
 	w.judge = newJudge(w.begin)
+	measured := make(chan struct{})
+	defer close(measured)
+	go w.judge.lag.run(func() bool {
+		select {
+		case <-measured:
+			return true
+		default:
+			return false
+		}
+	})
 	defer w.close()
 	if err := w.build(); err != nil {
 		return nil, err
@@ -191,7 +202,10 @@
 		if a.downTo.After(at) {
 			at = a.downTo
 		}
-		at = at.Add(a.slowBy)
+		if silent := a.muted.Add(missedFor); silent.After(at) && !a.muted.IsZero() {
+			at = silent // what a watch misses that has fallen silent
+		}
+		at = at.Add(2 * a.slowBy) // the whole list, and a watch
 		a.mu.Unlock()
 		if _, known := w.told[key]; !known {
 			w.told[key] = at
@@ -203,12 +217,12 @@
 
 // reachedNode holds a request that has reached a node against the rules on drains and on
 // cold nodes.
-func (w *world) reachedNode(n *node, id string) {
+func (w *world) reachedNode(n *node, id string, delay time.Duration) {
 	var number int
 	if _, err := fmt.Sscanf(id, "%d-", &number); err != nil || number >= len(w.sidecars) {
 		return
 	}
-	s, now := w.sidecars[number], time.Now()
+	s, now := w.sidecars[number], time.Now().Add(-delay)
 	w.mu.Lock()
 	told, draining := w.told[fmt.Sprint(n.name, "/", number)]
 	w.mu.Unlock()
@@ -221,7 +235,7 @@
 	if held.After(told) {
 		told = held
 	}
-	if late := now.Sub(told); draining && late > drainGrace+heldUp+scheduling {
+	if late := now.Sub(told); draining && late > drainGrace+heldUp+w.judge.lag.slack() {
 		w.judge.breaks(Drain, "%s was sent to %s %v after its drain was told", id, n.name, late)
 	}
 	n.mu.Lock()
