--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -130,7 +130,11 @@
 	if how == stops {
 		return k.stop(w, id, text)
 	}
-	if err := k.write(text, how); err != nil {
+	err := k.write(text, how, func() {
+		until = time.Now().Add(c.deadline)
+		w.judge.sent(id, until)
+	})
+	if err != nil {
 		k.drop()
 		return errCrossed
 	}
@@ -178,14 +182,18 @@
 		method, id, c.name, left.Seconds(), key, len(body), body)
 }
 
-// write writes a request in one piece or in some.
-func (k *worker) write(text []byte, how manner) error {
+// write writes a request in one piece or in some. last is called before the last one,
+// from which on the request's time counts.
+func (k *worker) write(text []byte, how manner, last func()) error {
 	if how != dribble {
 		_, err := k.conn.Write(text)
 		return err
 	}
 	for len(text) > 0 {
 		n := min(1+k.rng.IntN(len(text)), len(text))
+		if n == len(text) {
+			last()
+		}
 		if _, err := k.conn.Write(text[:n]); err != nil {
 			return err
 		}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -101,6 +101,13 @@
 	j.requests++
 }
 
+// sent notes that the last byte of a request is about to be written.
+func (j *judge) sent(id string, until time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.calls[id].until = until
+}
+
 // leaves notes that a request's client closes its connection now.
 func (j *judge) leaves(id string) {
 	j.mu.Lock()
