The soak: connections that come up late, late resets, a log that is full from the start, ports of its own

Found by taking guards out: without the guard next to the write nothing was seen, as no connection came up late (nodes have a short accept queue now and dial time-outs of 1.5 s at half of the sidecars); no reset came after a keyed window; the pipe of an unread log was never full. Two soaks at a time took one another's ports, as did connections of a sidecar that restarted: sidecars listen below the system's own range.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -28,7 +28,7 @@
 
 var classes = []class{
 	{"read", safe, time.Second, 0},
-	{"weight-reading", keyed, 1500 * time.Millisecond, 600 * time.Millisecond},
+	{"weight-reading", keyed, 2500 * time.Millisecond, 300 * time.Millisecond},
 	{"harvest-entry", unsafe, 2 * time.Second, 0},
 }
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -2,14 +2,17 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -18,14 +21,15 @@
 
 // The moods.
 const (
-	well      mood = iota
-	hangs          // takes requests and answers none
-	resets         // resets connections under requests, before or in the middle of answers
-	slow           // takes up to most of a deadline
-	spoils         // answers in all forms, good and bad
-	late           // connections come up late
-	breaks         // answers 500, or turns away
-	forgetful      // closes idle connections at once
+	well       mood = iota
+	hangs           // takes requests and answers none
+	resets          // resets connections under requests, before or in the middle of answers
+	slow            // takes up to most of a deadline
+	spoils          // answers in all forms, good and bad
+	late            // connections come up late: the node accepts none for a while
+	lateResets      // resets connections well after the request has come
+	breaks          // answers 500, or turns away
+	forgetful       // closes idle connections at once
 	moods
 )
 
@@ -45,7 +49,7 @@
 }
 
 func (w *world) newNode(name string, seed uint64) (*node, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := listenShort()
 	if err != nil {
 		return nil, err
 	}
@@ -54,22 +58,46 @@
 	return n, nil
 }
 
+// lateBy is how long a node may take to accept a connection that comes up late.
+const lateBy = 1200 * time.Millisecond
+
+// shortQueue is how many connections wait to be accepted; the system passes over the
+// first packet of those beyond, and they come up a second late.
+const shortQueue = 2
+
+// listenShort opens a listener with a short queue.
+func listenShort() (net.Listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(fd), "node")
+	defer f.Close()
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, shortQueue)); err != nil {
+		return nil, err
+	}
+	return net.FileListener(f)
+}
+
 func (n *node) accept() {
 	for {
+		n.mu.Lock()
+		delay := time.Duration(0)
+		if n.mood == late {
+			delay = lateBy
+		}
+		pause := time.Duration(n.rng.Int64N(int64(max(delay, 1))))
+		n.mu.Unlock()
+		time.Sleep(pause)
 		c, err := n.ln.Accept()
 		if err != nil {
 			return
 		}
 		n.mu.Lock()
 		n.conns[c] = struct{}{}
-		delay := time.Duration(0)
-		if n.mood == late {
-			delay = time.Duration(n.rng.Int64N(int64(1500 * time.Millisecond)))
-		}
 		n.mu.Unlock()
 		go func() {
-			time.Sleep(delay)
-			n.serve(c, delay)
+			n.serve(c, (shortQueue+1)*delay)
 			c.Close()
 			n.mu.Lock()
 			delete(n.conns, c)
@@ -135,6 +163,10 @@
 		return false
 	case m == slow:
 		time.Sleep(long)
+	case m == lateResets && draw < 60:
+		time.Sleep(long)
+		c.(*net.TCPConn).SetLinger(0)
+		return false
 	case m == resets && draw < 40:
 		c.(*net.TCPConn).SetLinger(0)
 		if draw < 20 {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -50,7 +51,7 @@
 
 // The figures of the settings that the judge needs.
 const (
-	fleetQuota   = 400.0 // requests a second of all sidecars and nodes together
+	fleetQuota   = 100.0 // requests a second of all sidecars and nodes together
 	coldFrom     = 0.3
 	coldFor      = 8 * time.Second
 	fallMultiple = 2.5
@@ -68,7 +69,7 @@
 		"settings": map[string]any{
 			"balancers": s.world.cfg.Sidecars,
 			"caps": map[string]any{
-				"may_cancel": true, "probes": s.number%2 == 0, "most_tries": 3, "dial_timeout_ms": 250, "conn_idle_ms": 6000, "max_retry_after_ms": 1200,
+				"may_cancel": true, "probes": s.number%2 == 0, "most_tries": 3, "dial_timeout_ms": 250 + 1250*(s.number%2), "conn_idle_ms": 6000, "max_retry_after_ms": 1200,
 			},
 			"classes": classSettings(), "discovery": "push", "zones": []any{"a"},
 			"orgs":  []any{map[string]any{"name": "north", "share": 1, "quota_per_s": fleetQuota}},
@@ -81,6 +82,9 @@
 	return text
 }
 
+// unreadFor is how long nobody reads the log of every fourth process.
+const unreadFor = 5 * time.Second
+
 // start starts the process. Every third has so few descriptors that it runs out of them,
 // and every fourth a log that nobody reads.
 func (s *sidecar) start() error {
@@ -98,6 +102,9 @@
 	if err != nil {
 		return err
 	}
+	if s.unread = s.number%4 == 1; s.unread {
+		fill(w)
+	}
 	cmd.Stderr = w
 	if err := cmd.Start(); err != nil {
 		r.Close()
@@ -105,13 +112,28 @@
 		return err
 	}
 	w.Close()
-	s.unread = s.number%4 == 1
 	s.logs.Go(func() { s.read(r) })
 	s.cmd, s.begun, s.ready, s.stopping, s.killed, s.ended = cmd, time.Now(), false, time.Time{}, false, make(chan error, 1)
 	go func(ended chan<- error) { ended <- cmd.Wait() }(s.ended)
 	return nil
 }
 
+// fill fills a pipe, so that whoever writes to it next waits.
+func fill(w *os.File) {
+	raw, err := w.SyscallConn()
+	if err != nil {
+		return
+	}
+	line := bytes.Repeat([]byte("\n"), 4096)
+	raw.Write(func(fd uintptr) bool {
+		for {
+			if _, err := syscall.Write(int(fd), line); err != nil {
+				return true // it takes no more
+			}
+		}
+	})
+}
+
 // read keeps the log, and looks for broken rules in it.
 func (s *sidecar) read(r *os.File) {
 	defer r.Close()
@@ -120,16 +142,19 @@
 		return
 	}
 	defer f.Close()
+	if s.unread {
+		time.Sleep(unreadFor)
+	}
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
+		if lines.Text() == "" {
+			continue
+		}
 		fmt.Fprintln(f, lines.Text())
 		if line := lines.Text(); strings.Contains(line, "a rule was broken") || strings.HasPrefix(line, "panic:") || strings.Contains(line, "DATA RACE") {
 			s.world.judge.breaks(Check, "sidecar %d: %s", s.number, line)
 		}
-		if s.unread {
-			time.Sleep(100 * time.Millisecond) // its pipe fills up
-		}
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -122,12 +122,10 @@
 				return err
 			}
 		}
-		ln, err := net.Listen("tcp", "127.0.0.1:0") // for its address alone
-		if err != nil {
+		var err error
+		if s.addr, err = freeAddress(i); err != nil {
 			return err
 		}
-		s.addr = ln.Addr().String()
-		ln.Close()
 		if err := s.start(); err != nil {
 			return err
 		}
@@ -141,6 +139,26 @@
 	return nil
 }
 
+// Sidecars listen below the ports that the system gives to connections: one that
+// restarts must find its own free. Soaks at the same time begin at different ones.
+const (
+	firstPort = 10_000
+	portRange = 20_000
+)
+
+// freeAddress returns an address at which nobody listens.
+func freeAddress(i int) (string, error) {
+	start := os.Getpid()*101 + i
+	for try := range portRange {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+(start+try*37)%portRange)
+		ln, err := net.Listen("tcp", addr)
+		if err == nil {
+			return addr, ln.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
 // finish ends all sidecars in order, and looks at how they do.
 func (w *world) finish() {
 	var ending sync.WaitGroup
