--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -33,7 +33,6 @@
 	killed   bool
 	held     time.Time // it is or was stopped (SIGSTOP) until then
 	movedAt  time.Time // it was told of another discovery
-	unread   bool      // nobody reads its log
 	logs     sync.WaitGroup
 }
 
@@ -102,7 +101,8 @@
 	if err != nil {
 		return err
 	}
-	if s.unread = s.number%4 == 1; s.unread {
+	unread := s.number%4 == 1
+	if unread {
 		fill(w)
 	}
 	cmd.Stderr = w
@@ -112,7 +112,7 @@
 		return err
 	}
 	w.Close()
-	s.logs.Go(func() { s.read(r) })
+	s.logs.Go(func() { s.read(r, unread) })
 	s.cmd, s.begun, s.ready, s.stopping, s.killed, s.ended = cmd, time.Now(), false, time.Time{}, false, make(chan error, 1)
 	go func(ended chan<- error) { ended <- cmd.Wait() }(s.ended)
 	return nil
@@ -135,14 +135,14 @@
 }
 
 // read keeps the log, and looks for broken rules in it.
-func (s *sidecar) read(r *os.File) {
+func (s *sidecar) read(r *os.File, unread bool) {
 	defer r.Close()
 	f, err := os.OpenFile(filepath.Join(s.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return
 	}
 	defer f.Close()
-	if s.unread {
+	if unread {
 		time.Sleep(unreadFor)
 	}
 	lines := bufio.NewScanner(r)
@@ -178,6 +178,13 @@
 	return false
 }
 
+// agent returns the discovery that the configuration names.
+func (s *sidecar) agent() *agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agents[s.at]
+}
+
 // signal sends a signal to the process.
 func (s *sidecar) signal(sig syscall.Signal) {
 	s.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -357,18 +357,18 @@
 	}},
 	{"watches fall silent", func(w *world, rng *rand.Rand) {
 		for _, s := range w.sidecars {
-			s.agents[s.at].mute()
+			s.agent().mute()
 		}
 		w.sleep(2 * time.Second)
 	}},
 	{"watches are reset", func(w *world, rng *rand.Rand) {
 		for _, s := range w.sidecars {
-			s.agents[s.at].resetWatches()
+			s.agent().resetWatches()
 		}
 	}},
 	{"slow discovery", func(w *world, rng *rand.Rand) {
 		for _, s := range w.sidecars {
-			s.agents[s.at].setSlow(time.Duration(rng.IntN(1500)) * time.Millisecond)
+			s.agent().setSlow(time.Duration(rng.IntN(1500)) * time.Millisecond)
 		}
 		w.sleep(3 * time.Second)
 		for _, s := range w.sidecars {
