--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -33,6 +33,13 @@
 	moods
 )
 
+// arrival is a request that reached a cold node, and whether its sidecar had been told of
+// the start.
+type arrival struct {
+	at   time.Time
+	told bool
+}
+
 // node is a stand-in for an upstream, and the way to it.
 type node struct {
 	world *world
@@ -43,7 +50,7 @@
 	mood     mood
 	born     time.Time // of its last start; zero: long ago
 	health   string
-	arrivals []time.Time // since it was born
+	arrivals []arrival // since it was born, while it is cold
 	conns    map[net.Conn]struct{}
 	rng      *rand.Rand
 }
@@ -150,7 +157,6 @@
 	n.mu.Lock()
 	m, draw, pause := n.mood, n.rng.IntN(100), time.Duration(2+n.rng.IntN(8))*time.Millisecond
 	long := time.Duration(n.rng.Int64N(int64(max(told, 1))))
-	n.arrivals = append(n.arrivals, time.Now())
 	n.mu.Unlock()
 	n.world.reachedNode(n, id, delay)
 	turned := m == breaks && draw < 50
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -83,6 +83,7 @@
 	mu     sync.Mutex
 	downTo time.Time     // silent until then
 	slowBy time.Duration // before each answer
+	slowAt time.Time     // it was slow until then; zero: never
 	reset  chan struct{} // closed to end all watches
 	muted  time.Time     // watches that were opened before then say nothing any more
 }
@@ -124,10 +125,17 @@
 
 func (a *agent) setSlow(d time.Duration) {
 	a.mu.Lock()
-	a.slowBy = d
+	a.slowBy, a.slowAt = d, time.Now()
 	a.mu.Unlock()
 }
 
+// slowSince says whether the agent has been slow since a time.
+func (a *agent) slowSince(t time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.slowBy > 0 || a.slowAt.After(t)
+}
+
 // silentSince says whether what was opened at a time gets nothing (more).
 func (a *agent) silentSince(opened time.Time) bool {
 	a.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,6 +60,7 @@
 
 	mu       sync.Mutex
 	told     map[string]time.Time // when a node's drain counts as told, by node and sidecar
+	starts   map[string]time.Time // the same of its last start
 	troubles map[string]int
 }
 
@@ -67,7 +68,7 @@
 func Run(cfg Config) (*Result, error) {
 	w := &world{
 		cfg: cfg, begin: time.Now(), list: newRegistry(), rng: rand.New(rand.NewPCG(cfg.Seed, 0)),
-		told: make(map[string]time.Time), troubles: make(map[string]int),
+		told: make(map[string]time.Time), starts: make(map[string]time.Time), troubles: make(map[string]int),
 	}
 	w.judge = newJudge(w.begin)
 	measured := make(chan struct{})
@@ -205,10 +206,6 @@
 	w.mu.Lock()
 	for _, s := range w.sidecars {
 		key := fmt.Sprint(n.name, "/", s.number)
-		if health == "up" {
-			delete(w.told, key)
-			continue
-		}
 		at := time.Now()
 		s.mu.Lock()
 		if moved := s.movedAt.Add(4 * time.Second); moved.After(at) {
@@ -225,7 +222,10 @@
 		}
 		at = at.Add(2 * a.slowBy) // the whole list, and a watch
 		a.mu.Unlock()
-		if _, known := w.told[key]; !known {
+		if health == "up" {
+			delete(w.told, key)
+			w.starts[key] = at
+		} else if _, known := w.told[key]; !known {
 			w.told[key] = at
 		}
 	}
@@ -241,9 +241,17 @@
 		return
 	}
 	s, now := w.sidecars[number], time.Now().Add(-delay)
+	key := fmt.Sprint(n.name, "/", number)
 	w.mu.Lock()
-	told, draining := w.told[fmt.Sprint(n.name, "/", number)]
+	told, draining := w.told[key]
+	start := w.starts[key]
 	w.mu.Unlock()
+	if s.agent().slowSince(told.Add(-settle)) { // pushed lists know no slow agent: the longest time counts
+		told = told.Add(missedFor)
+	}
+	if s.agent().slowSince(start.Add(-settle)) {
+		start = start.Add(missedFor)
+	}
 	s.mu.Lock()
 	held, begun := s.held, s.begun
 	s.mu.Unlock()
@@ -262,14 +270,18 @@
 	if n.born.IsZero() || age > coldFor {
 		return
 	}
-	inWindow := 0
-	for _, at := range n.arrivals {
-		if now.Sub(at) <= fallWindow {
+	n.arrivals = append(n.arrivals, arrival{now, !start.After(now)})
+	inWindow, toldOf := 0, 0
+	for _, a := range n.arrivals {
+		if now.Sub(a.at) <= fallWindow {
 			inWindow++
+			if a.told {
+				toldOf++
+			}
 		}
 	}
 	capacity := fleetQuota / float64(w.cfg.Nodes) * (coldFrom + (1-coldFrom)*max(0, age-fallWindow).Seconds()/coldFor.Seconds())
-	if most := budget(fallMultiple * capacity * fallWindow.Seconds()); float64(inWindow) > most && age > fallWindow/10 {
+	if most := budget(fallMultiple * capacity * fallWindow.Seconds()); float64(inWindow) > most && 3*toldOf > 2*inWindow {
 		w.judge.breaks(Failback, "%s, %v old, got %d requests within %v, at most %.0f", n.name, age, inWindow, fallWindow, most)
 	}
 }
@@ -323,7 +335,7 @@
 	}},
 	{"stop and go on", func(w *world, rng *rand.Rand) {
 		if s := w.someSidecar(rng); s != nil {
-			s.hold(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
+			s.hold(time.Duration(400+rng.IntN(1300)) * time.Millisecond)
 		}
 	}},
 	{"new configuration", func(w *world, rng *rand.Rand) {
