--- a/review/standins/cmd/removed/main.go
+++ b/review/standins/cmd/removed/main.go
@@ -1,5 +1,6 @@
 // Command removed plays a release: six of ten records nodes are replaced by new ones, told in one message
-// of the platform's discovery. The sidecar has one more source in its operators' file, a static list.
+// of the platform's discovery, and are switched off some seconds later. The sidecar has one more source in its
+// operators' file, a static list.
 package main
 
 import (
@@ -13,8 +14,8 @@
 
 const (
 	calmFor    = 4 * time.Second // before the release
-	stayFor    = 8 * time.Second // a replaced node goes on answering, and then its process ends
-	afterwards = 3 * time.Second
+	stayFor    = 8 * time.Second // a replaced node goes on answering, and then its machine is switched off
+	afterwards = 8 * time.Second
 	pause      = 12 * time.Millisecond // about 80 requests a second
 	work       = 60 * time.Millisecond
 	oldNodes   = 10
@@ -89,8 +90,10 @@
 	time.Sleep(stayFor)
 	if stand.Trouble() {
 		for _, node := range w.nodes[:replaced] {
-			record.Line("%s ends", node.Name)
-			node.Close()
+			record.Line("%s is switched off", node.Name)
+			if err := node.Vanish(); err != nil {
+				return false, err
+			}
 		}
 	}
 	time.Sleep(afterwards)
@@ -166,7 +169,7 @@
 		late += lateHere
 		w.record.Say("%s: new requests later than %v after the notice: %d, the last %.1f s after it", node.Name, grace, lateHere, last.Seconds())
 	}
-	w.record.Say("served %d, refused %d, failed %d (harvest entries: %d)", w.served.Load(), w.refused.Load(),
+	w.record.Say("served %d, refused %d, answered as failed %d (harvest entries: %d)", w.served.Load(), w.refused.Load(),
 		w.failed.Load(), w.failedEntries.Load())
 	w.record.Line("log of the sidecar:\n%s", sidecar.LogTail())
 	return late > 0
--- a/review/standins/stand/node.go
+++ b/review/standins/stand/node.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -32,6 +34,8 @@
 	mu       sync.Mutex
 	calls    []Call
 	conns    map[net.Conn]bool
+	vanished bool
+	fillers  []net.Conn // fill the backlog of a vanished node
 }
 
 // StartNode starts a node on a free port.
@@ -49,7 +53,7 @@
 	go func() {
 		for {
 			conn, err := n.listener.Accept()
-			if err != nil {
+			if err != nil || n.Vanished() {
 				return
 			}
 			n.mu.Lock()
@@ -68,6 +72,41 @@
 	for conn := range n.conns {
 		conn.Close()
 	}
+	for _, conn := range n.fillers {
+		conn.Close()
+	}
+}
+
+// Vanished reports whether the node has vanished.
+func (n *Node) Vanished() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.vanished
+}
+
+// Vanish makes the node say nothing more, like a machine that is switched off: open connections stay open and
+// silent, and new ones never come up, because the backlog of the listener is full.
+func (n *Node) Vanish() error {
+	n.mu.Lock()
+	n.vanished = true
+	n.mu.Unlock()
+	raw, err := n.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 1) }); err != nil {
+		return err
+	}
+	for range 8 { // the first one ends Accept, the others stay in the backlog
+		conn, err := net.DialTimeout("tcp", n.Addr, 50*time.Millisecond)
+		if err != nil {
+			return nil // the backlog is full
+		}
+		n.mu.Lock()
+		n.fillers = append(n.fillers, conn)
+		n.mu.Unlock()
+	}
+	return errors.New("the backlog does not fill")
 }
 
 // Calls returns the requests that have begun so far.
@@ -105,6 +144,9 @@
 			}
 			continue
 		}
+		if n.Vanished() {
+			continue
+		}
 		call := Call{Node: n.Name, ID: request.Header.Get("Request-Id"), Class: request.Header.Get("Request-Class"),
 			Key: request.Header.Get("Idempotency-Key"), At: time.Now(), Body: body}
 		n.mu.Lock()
@@ -120,6 +162,9 @@
 			continue
 		}
 		time.Sleep(n.Work)
+		if n.Vanished() {
+			continue
+		}
 		if !WriteAnswer(conn, AnswerTo(call.ID, n.Name)) {
 			return
 		}
