--- a/review/standins/cmd/unfinished/main.go
+++ b/review/standins/cmd/unfinished/main.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	memoryMB    = 64   // as in deploy/examples/standalone.toml
-	sockets     = 1024 // the same
-	badClients  = 580
+	memoryMB    = 32       // the least of the page
+	sockets     = 1024     // the most of the page
+	badClients  = 330      // with those of the usual clients a third of the descriptors
 	headBytes   = 16 << 10 // of an unfinished request
 	bodyBytes   = 64 << 10 // that it names
 	sentBytes   = 65000    // that it sends of them
