--- a/review/standins/cmd/refused/main.go
+++ b/review/standins/cmd/refused/main.go
@@ -117,11 +117,12 @@
 	w.record.Line("%s runs %s (key %s)", call.Node, call.ID, call.Key)
 }
 
-// reading sends a weight reading, and again after a refusal: after the pause that the refusal tells, under a
-// new id and with the same key.
+// reading sends a weight reading, and again after a refusal: after a pause that doubles (the site's backoff),
+// or after the pause that the refusal tells, if that is longer, under a new id and with the same key.
 func (w *world) reading(client *stand.Client, addr string) {
 	key := stand.NewID("key")
 	first := time.Now()
+	backoff := time.Duration(25+rand.IntN(175)) * time.Millisecond
 	for try := 0; try <= retries; try++ {
 		left := deadline - time.Since(first)
 		if left <= 0 {
@@ -145,6 +146,7 @@
 			w.failed.Add(1)
 			return
 		}
-		time.Sleep(max(answer.RetryAfter, time.Duration(25+rand.IntN(175))*time.Millisecond))
+		time.Sleep(max(answer.RetryAfter, backoff))
+		backoff *= 2
 	}
 }
--- a/review/standins/stand/platform.go
+++ b/review/standins/stand/platform.go
@@ -22,7 +22,7 @@
 	return map[string]any{
 		"balancers": 1, "zone": 0, "period_ms": 5, "discovery": "push", "zones": []string{"anzac-st-depot"},
 		"caps": map[string]any{
-			"most_tries": 3, "may_cancel": true, "probes": true, "second_copies": true, "retry_after": true,
+			"most_tries": 3, "may_cancel": true, "probes": true, "second_copies": true, "retry_after": false,
 			"max_retry_after_ms": 1200, "dial_timeout_ms": 250, "conn_idle_ms": 30000, "streams_per_conn": 1,
 		},
 		"rules": map[string]any{
