--- a/review/standins/cmd/hidden/main.go
+++ b/review/standins/cmd/hidden/main.go
@@ -156,8 +156,9 @@
 
 // judge counts the requests that ran though no client sent them, and the foreign answers.
 func (w *world) judge(nodes []*stand.Node, sidecar *stand.Sidecar) (broken bool) {
-	ran, neverSent := 0, 0
+	ran, neverSent, bothLengths := 0, 0, 0
 	for _, node := range nodes {
+		bothLengths += node.BothLengths()
 		for _, call := range node.Calls() {
 			ran++
 			if !w.sent[call.ID] {
@@ -167,6 +168,7 @@
 		}
 	}
 	w.record.Say("requests that ran: %d, of them never sent by a client: %d", ran, neverSent)
+	w.record.Say("requests that reached a node with both lengths in their heads: %d", bothLengths)
 	w.record.Say("usual clients: served %d, answered with another request's answer %d, other answers %d",
 		w.served.Load(), w.foreign.Load(), w.failed.Load())
 	w.record.Line("log of the sidecar:\n%s", sidecar.LogTail())
--- a/review/standins/cmd/unfinished/main.go
+++ b/review/standins/cmd/unfinished/main.go
@@ -149,6 +149,7 @@
 func (w *world) usualRequest(client *stand.Client) {
 	request := stand.Request{ID: stand.NewID("entry"), Class: "harvest-entry", Tenant: "downs-apiarists",
 		Timeout: 2500 * time.Millisecond, Body: "21 kg"}
+	w.record.Line("usual client sends %s", request.ID)
 	answer := client.Do(w.sidecar.Addr, request)
 	switch {
 	case answer.Status == 200:
--- a/review/standins/stand/node.go
+++ b/review/standins/stand/node.go
@@ -30,12 +30,13 @@
 	// Answer, if set, writes the answer itself and reports whether the connection stays open.
 	Answer func(conn net.Conn, call Call) (open bool)
 
-	listener net.Listener
-	mu       sync.Mutex
-	calls    []Call
-	conns    map[net.Conn]bool
-	vanished bool
-	fillers  []net.Conn // fill the backlog of a vanished node
+	listener    net.Listener
+	mu          sync.Mutex
+	calls       []Call
+	conns       map[net.Conn]bool
+	vanished    bool
+	bothLengths int        // requests with a Content-Length and a Transfer-Encoding
+	fillers     []net.Conn // fill the backlog of a vanished node
 }
 
 // StartNode starts a node on a free port.
@@ -128,16 +129,23 @@
 		n.mu.Unlock()
 		conn.Close()
 	}()
-	reader := bufio.NewReader(conn)
+	tap := &headTap{Conn: conn}
+	reader := bufio.NewReader(tap)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if tap.namesBothLengths() {
+			n.mu.Lock()
+			n.bothLengths++
+			n.mu.Unlock()
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
 		}
+		tap.received = tap.received[:0]
 		if request.URL.Path == "/stats" || request.URL.Path == "/health/live" {
 			if !WriteAnswer(conn, []byte("TEXT failed_ps=0, svc_ms=50, served_ps=10, busy_reqs=1")) {
 				return
@@ -171,6 +179,32 @@
 	}
 }
 
+// BothLengths returns how many requests had a Content-Length and a Transfer-Encoding.
+func (n *Node) BothLengths() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bothLengths
+}
+
+// headTap keeps what was received since the last request, because net/http drops the Content-Length of a head
+// that names a Transfer-Encoding too.
+type headTap struct {
+	net.Conn
+	received []byte
+}
+
+// Read implements io.Reader.
+func (t *headTap) Read(buffer []byte) (int, error) {
+	count, err := t.Conn.Read(buffer)
+	t.received = append(t.received, buffer[:count]...)
+	return count, err
+}
+
+func (t *headTap) namesBothLengths() bool {
+	head, _, _ := strings.Cut(strings.ToLower(string(t.received)), "\r\n\r\n")
+	return strings.Contains(head, "\r\ncontent-length:") && strings.Contains(head, "\r\ntransfer-encoding:")
+}
+
 // AnswerTo is the body of a node's answer to a request.
 func AnswerTo(id, node string) []byte { return fmt.Appendf(nil, "answer to %s by %s", id, node) }
 
--- a/review/standins/stand/platform.go
+++ b/review/standins/stand/platform.go
@@ -114,12 +114,21 @@
 	s.command.Stdout, s.command.Stderr = log, log
 	s.command.Env = append(os.Environ(), "ROUTER_NAME=n1", "ROUTER_LISTEN="+addr,
 		"ROUTER_DISCOVERY="+start.Discovery, "ROUTER_CONFIG="+configFile, "TMPDIR="+start.Dir)
-	if err := s.command.Start(); err != nil {
+	running.Lock()
+	err = s.command.Start()
+	if err == nil {
+		running.sidecars[s] = true
+	}
+	running.Unlock()
+	if err != nil {
 		return nil, err
 	}
 	go func() {
 		s.err = s.command.Wait()
 		log.Close()
+		running.Lock()
+		delete(running.sidecars, s)
+		running.Unlock()
 		close(s.ended)
 	}()
 	if err := s.awaitReady(30 * time.Second); err != nil {
