--- a/review/standins/cmd/refused/main.go
+++ b/review/standins/cmd/refused/main.go
@@ -38,8 +38,8 @@
 			"max_retry_after_ms": 900, "dial_timeout_ms": 300, "conn_idle_ms": 12000, "streams_per_conn": 1,
 		},
 		"rules": map[string]any{
-			"cold_from": 0.25, "cold_ms": 11000, "fall_multiple": 3, "overload_for_ms": 2000, "ask_within_ms": 10000,
-			"stop_sending_within_ms": 1000, "answer_slack_ms": 20,
+			"cold_from": 0.25, "cold_ms": 11000, "fall_multiple": 2.2, "overload_for_ms": 1200, "ask_within_ms": 10000,
+			"stop_sending_within_ms": 1500, "answer_slack_ms": 20,
 		},
 		"telemetry":     map[string]any{"how": "piggyback", "columns": []string{"busy_reqs", "pending"}},
 		"client_habits": map[string]any{"marks_retry": false},
