Keep header fields of one hop on their hop, on every pairing of protocols

Cause: three places decided which fields belong to one hop and did not agree. httpfront removed them from requests; rpcfront (msgrpc.HTTPFields) removed only fields with a key of their own, and asked its list of hop-by-hop fields for responses alone; httpnode wrote the client's Transfer-Encoding beside the Content-Length that it sets itself.

Change: package internal/hopbyhop holds the one rule, in any spelling and with the fields that Connection lists. Both front ends apply it to requests and responses, both transports write none of its fields, plug-ins cannot set them.

--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -11,6 +11,7 @@
 
 	"mothridge/internal/core"
 	"mothridge/internal/front/frontend"
+	"mothridge/internal/hopbyhop"
 	"mothridge/internal/http1"
 	"mothridge/policy"
 )
@@ -61,7 +62,7 @@
 func (front *Front) readRequest(httpRequest *http.Request, conn *clientConn) (*core.Request, *requestError) {
 	arrival := conn.arrivalTime(time.Now())
 	header := httpRequest.Header
-	http1.RemoveHopByHopFields(header) // first: a field listed in Connection is not forwarded and counts as absent
+	hopbyhop.RemoveConnectionFields(header) // first: a field listed in Connection is not forwarded and counts as absent
 	if err := checkTarget(httpRequest); err != nil {
 		return nil, err
 	}
--- a/internal/front/httpfront/write_response.go
+++ b/internal/front/httpfront/write_response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/hopbyhop"
 	"mothridge/internal/http1"
 )
 
@@ -75,14 +76,13 @@
 	}
 }
 
-// copyFields copies the header fields of an upstream's response, except hop-by-hop fields and the load
-// report. fields is nil if no upstream has responded.
+// copyFields copies the header fields of an upstream's response, except those of the upstream's hop. fields is
+// nil if no upstream has responded.
 func copyFields(header http.Header, fields http.Header) {
 	if fields == nil {
 		return
 	}
-	http1.RemoveHopByHopFields(fields)
-	delete(fields, "Server-Load")
+	hopbyhop.Remove(fields)
 	for name, values := range fields {
 		header[name] = values
 	}
--- a/internal/front/rpcfront/write_response.go
+++ b/internal/front/rpcfront/write_response.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/hopbyhop"
 	"mothridge/internal/msgrpc"
 )
 
@@ -58,6 +59,7 @@
 
 func (response *queuedResponse) appendServed(buffer []byte) []byte {
 	fields := response.result.Fields
+	hopbyhop.Remove(fields)
 	for name, values := range fields {
 		if !isForwarded(name, values) {
 			delete(fields, name)
@@ -67,10 +69,10 @@
 	return result.Append(buffer, response.id)
 }
 
-// isForwarded reports whether a header field of an upstream's response is forwarded to the client. Not
-// forwarded are hop-by-hop fields, and fields with characters that a message must not contain.
+// isForwarded reports whether an end-to-end header field of an upstream's response is forwarded to the client. Not
+// forwarded are Date, which only HTTP/1.1 responses have, and fields with characters that a message must not contain.
 func isForwarded(name string, values []string) bool {
-	if msgrpc.IsHopByHopField(name) || !msgrpc.IsPlainText(name) {
+	if name == "Date" || !msgrpc.IsPlainText(name) {
 		return false
 	}
 	return !slices.ContainsFunc(values, isNotPlain)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -1,12 +1,10 @@
 // Package http1 contains what the HTTP/1.1 front end and the HTTP/1.1 transport share: message
-// framing, reading bodies of a known length, and hop-by-hop header fields.
+// framing and reading bodies of a known length.
 package http1
 
 import (
 	"io"
-	"net/http"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -17,26 +15,6 @@
 // of the body has been received. It keeps a peer from reserving memory by a Content-Length alone.
 const initialBodyBytes = 8 << 10
 
-// hopByHopFields are the header fields that apply to a single connection and must not be forwarded
-// (RFC 9110, section 7.6.1).
-var hopByHopFields = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// RemoveHopByHopFields removes the header fields that apply to a single connection, including the
-// fields that the Connection field lists.
-func RemoveHopByHopFields(header http.Header) {
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopFields {
-		delete(header, name)
-	}
-}
-
 // ReadExactly blocks until it has read length bytes. If the reader ends before, the error is
 // io.ErrUnexpectedEOF, or io.EOF if no bytes were read. After the first initialBodyBytes bytes,
 // memory for the whole body is allocated at once, because growing the buffer in steps would copy a
--- a/internal/msgrpc/http_fields.go
+++ b/internal/msgrpc/http_fields.go
@@ -3,14 +3,15 @@
 import (
 	"strconv"
 	"time"
+
+	"mothridge/internal/hopbyhop"
 )
 
 // HasOwnKey reports whether a header field has its own key in the mapping.
 func HasOwnKey(field string) bool { return new(Call).SetHTTPField(field, nil) }
 
 // SetHTTPField stores a header field of an HTTP request under its own key, and reports whether the field
-// has one. For a field that each hop sets itself, SetHTTPField stores nothing and returns true, so that
-// the field is dropped.
+// has one.
 func (call *Call) SetHTTPField(field string, values []string) bool {
 	value := ""
 	if len(values) > 0 {
@@ -31,7 +32,6 @@
 		call.ClientRetry = value == "1"
 	case "Work-Hint":
 		call.setWorkHint(value)
-	case "Request-Timeout", "Content-Length": // set by each hop
 	default:
 		return false
 	}
@@ -46,13 +46,14 @@
 	}
 }
 
-// HTTPFields returns the header fields of an HTTP request for this call, except for the timeout, which the
-// transport sets. If call.Fields is not nil, HTTPFields modifies and returns that map.
+// HTTPFields returns the header fields of an HTTP request for this call, except those that belong to one hop. If
+// call.Fields is not nil, HTTPFields modifies and returns that map.
 func (call *Call) HTTPFields() map[string][]string {
 	fields := call.Fields
 	if fields == nil {
 		fields = make(map[string][]string, 4)
 	}
+	hopbyhop.Remove(fields)
 	for name := range fields { // for a field with its own key, only the value of that key is used
 		if HasOwnKey(name) {
 			delete(fields, name)
@@ -77,14 +78,3 @@
 	}
 	return fields
 }
-
-// IsHopByHopField reports whether a header field of a response applies to a single hop or to its framing.
-// Such a field is not forwarded.
-func IsHopByHopField(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Content-Length", "Server-Load", "Date":
-		return true
-	}
-	return false
-}
--- a/internal/msgrpc/parse.go
+++ b/internal/msgrpc/parse.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"math"
 	"net/textproto"
-	"strings"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // unwrapParams returns the only element of params, which must be a map.
@@ -189,7 +189,7 @@
 	if err != nil {
 		return "", rest, err
 	}
-	if name == "" || strings.ContainsFunc(name, isNotTokenChar) {
+	if !httpguts.ValidHeaderFieldName(name) {
 		return "", rest, fmt.Errorf(
 			"field name %.40q must be a token of letters, digits, hyphens and others (RFC 9110, section 5.6.2)", name)
 	}
@@ -216,10 +216,3 @@
 	}
 	return values, b, nil
 }
-
-// isNotTokenChar reports whether a character is not allowed in a field name (RFC 9110, section 5.6.2).
-func isNotTokenChar(r rune) bool {
-	isLetter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
-	isDigit := r >= '0' && r <= '9'
-	return !isLetter && !isDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
-}
--- a/internal/peers/client.go
+++ b/internal/peers/client.go
@@ -35,8 +35,10 @@
 	Outcome    Outcome
 	RetryAfter time.Duration // for Rejected: time to wait before a retry; 0 if the response has none
 	Body       []byte        // for Served: the response body
-	Text       string        // the reason, if the response has one
-	Err        error         // for Lost: the error
+	// HeaderFields are the header fields of a Served response, by name as received.
+	HeaderFields map[string][]string
+	Text         string // the reason, if the response has one
+	Err          error  // for Lost: the error
 }
 
 // lost returns the result of a request without a complete response.
--- a/internal/peers/client_http.go
+++ b/internal/peers/client_http.go
@@ -134,7 +134,7 @@
 	status := response.StatusCode
 	switch {
 	case status == http.StatusOK:
-		return Result{Outcome: Served, Body: body}
+		return Result{Outcome: Served, Body: body, HeaderFields: response.Header}
 	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
 		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // 0 if absent
 		return Result{Outcome: Rejected, RetryAfter: time.Duration(seconds * float64(time.Second))}
--- a/internal/peers/client_rpc.go
+++ b/internal/peers/client_rpc.go
@@ -104,13 +104,20 @@
 		Target:         "/api",
 		Body:           c.Body,
 	}
-	if len(c.HeaderFields) > 0 {
-		message.Fields = make(map[string][]string, len(c.HeaderFields))
+	message.Fields = rpcFields(c.HeaderFields)
+	return message
+}
+
+// rpcFields converts header fields to the form of a message, nil if there are none.
+func rpcFields(headerFields map[string]string) map[string][]string {
+	if len(headerFields) == 0 {
+		return nil
 	}
-	for name, value := range c.HeaderFields {
-		message.Fields[name] = []string{value}
+	fields := make(map[string][]string, len(headerFields))
+	for name, value := range headerFields {
+		fields[name] = []string{value}
 	}
-	return message
+	return fields
 }
 
 // register reserves an id for a request. The request's result is sent to done.
@@ -221,7 +228,7 @@
 		if err != nil {
 			return lost(err)
 		}
-		return Result{Outcome: Served, Body: result.Body}
+		return Result{Outcome: Served, Body: result.Body, HeaderFields: result.Fields}
 	}
 	fault, err := msgrpc.ParseFault(message.Fault)
 	if err != nil {
--- a/internal/peers/script.go
+++ b/internal/peers/script.go
@@ -54,6 +54,8 @@
 	Body       []byte        // response body; nil: the request's id
 	TruncateAt int           // for Truncate: number of bytes of the response to write
 
+	HeaderFields map[string]string // for Serve: additional header fields of the response
+
 	// WaitForAction, if set, blocks and returns the action. In HTTP, WaitForAction runs after Delay; in
 	// MessagePack-RPC it replaces Delay. WaitForAction must return once cancelled is closed. In HTTP,
 	// cancelled is closed when the upstream closes; in MessagePack-RPC, when the request is cancelled,
--- a/internal/peers/upstream_http.go
+++ b/internal/peers/upstream_http.go
@@ -121,7 +121,11 @@
 		appendHTTPResponse(out, "200 OK", "", response.Body)
 		appendHTTPResponse(out, "200 OK", "", []byte(unsolicitedBody))
 	default:
-		appendHTTPResponse(out, "200 OK", "", response.Body)
+		var fields bytes.Buffer
+		for name, value := range response.HeaderFields {
+			appendHTTPField(&fields, name, value)
+		}
+		appendHTTPResponse(out, "200 OK", fields.String(), response.Body)
 	}
 }
 
--- a/internal/peers/upstream_rpc.go
+++ b/internal/peers/upstream_rpc.go
@@ -186,6 +186,7 @@
 		return false
 	default:
 		c.upstream.served.Add(1)
+		result.Fields = rpcFields(response.HeaderFields)
 		return c.write(result.Append(nil, id))
 	}
 }
--- a/internal/plugin/permissions.go
+++ b/internal/plugin/permissions.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"mothridge/internal/hook"
+	"mothridge/internal/hopbyhop"
 )
 
 // TagField is the header that holds a request's tags, separated by commas. The Gate removes the header
@@ -20,11 +21,9 @@
 // maxTagBytes is the maximum length of a tag.
 const maxTagBytes = 64
 
-// protectedHeaders identify a request or control how it is forwarded. No plug-in may change them.
+// protectedHeaders identify a request. No plug-in may change them, nor a header that belongs to one hop.
 var protectedHeaders = []string{
-	"Host", "Content-Length", "Transfer-Encoding", "Connection", "Keep-Alive", "Te", "Trailer", "Upgrade",
-	"Proxy-Connection", "Request-Id", "Request-Class", "Request-Timeout", "Tenant", "Idempotency-Key",
-	"Client-Retry", "Work-Hint", TagField,
+	"Request-Id", "Request-Class", "Tenant", "Idempotency-Key", "Client-Retry", "Work-Hint", TagField,
 }
 
 // errDenied is the error of an effect that the manifest or a bound does not allow.
@@ -38,7 +37,7 @@
 // mayChangeHeader reports whether the manifest allows a header to be set or removed. name is the header's
 // canonical name.
 func (p *Plugin) mayChangeHeader(name string) bool {
-	if slices.Contains(protectedHeaders, name) {
+	if hopbyhop.IsHopByHop(name) || slices.Contains(protectedHeaders, name) {
 		return false
 	}
 	return slices.ContainsFunc(p.spec.Headers, func(pattern string) bool {
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -95,6 +95,7 @@
 		{"a tenant that is not allowed", `on request { set_tenant("downs")  tag("x") }`, nil, nil, map[string][]string{}, 0, 1},
 		{"a header that is not allowed", `on request { tag("x")  set_header("Y-A", "1") }`, nil, nil, map[string][]string{}, 0, 1},
 		{"a protected header", `on request { set_header("tenant", "lockyer") }`, nil, nil, map[string][]string{}, 0, 1},
+		{"a header of one hop", `on request { set_header("expect", "100-continue") }`, func(spec *Spec) { spec.Headers = []string{"*"} }, nil, map[string][]string{}, 0, 1},
 		{"a line break in a value", `on request { set_header("X-A", "1\r\nX-Evil: 1") }`, nil, nil, map[string][]string{}, 0, 1},
 		{"a line break in a name", `on request { set_header("X-A\r\nX-Evil", "1") }`, nil, nil, map[string][]string{}, 0, 1},
 		{"a tag with a comma", `on request { tag("a,b") }`, nil, nil, map[string][]string{}, 0, 1},
--- a/internal/transport/httpnode/write_request.go
+++ b/internal/transport/httpnode/write_request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/hopbyhop"
 )
 
 // writeRequest writes a request with a single write. It returns nil after the last byte was written.
@@ -58,11 +59,11 @@
 	buffer.Write(message.Body)
 }
 
-// appendFields encodes the client's header fields, except for the fields that appendRequest sets.
+// appendFields encodes the client's header fields, except for those that belong to one hop. appendRequest sets
+// those that this hop needs.
 func appendFields(buffer *bytes.Buffer, fields map[string][]string) {
 	for name, values := range fields {
-		switch name {
-		case "Request-Timeout", "Content-Length", "Host":
+		if hopbyhop.IsHopByHop(name) {
 			continue
 		}
 		for _, value := range values {
--- a/internal/transport/rpcnode/request.go
+++ b/internal/transport/rpcnode/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/hopbyhop"
 	"mothridge/internal/msgrpc"
 )
 
@@ -81,23 +82,17 @@
 }
 
 // newCall converts the request of an attempt to a call. A header field that has its own key in the
-// mapping is stored under that key, any other field in Call.Fields.
+// mapping is stored under that key, any other field in Call.Fields, unless it belongs to one hop.
 func newCall(message *core.Message, timeout time.Duration) *msgrpc.Call {
 	call := &msgrpc.Call{Timeout: timeout, Target: message.Target, Host: message.Host, Body: message.Body}
-	others := 0
 	for name, values := range message.Fields {
-		if !call.SetHTTPField(name, values) {
-			others++
+		if hopbyhop.IsHopByHop(name) || call.SetHTTPField(name, values) {
+			continue
 		}
-	}
-	if others == 0 {
-		return call
-	}
-	call.Fields = make(map[string][]string, others)
-	for name, values := range message.Fields {
-		if !msgrpc.HasOwnKey(name) {
-			call.Fields[name] = values
+		if call.Fields == nil {
+			call.Fields = make(map[string][]string, len(message.Fields))
 		}
+		call.Fields[name] = values
 	}
 	return call
 }
