Take a folded line of an HTTP/1.1 head for a part of the field before it

What callers saw: after a request with a folded line " Content-Length: N", a request on the same connection with both Content-Length and Transfer-Encoding was served and forwarded. It is owed a 411 and must reach no node.

Cause: http1.Framing trimmed blanks from the names of lines, so it read a folded line as a field, which net/http does not. It lost the place where the next head begins, and reported a head without lengths for the request with two.

Change: in Framing.onHeadLine, a line that begins with a blank or a tab continues the field before.

Evidence: TestFoldedLineDoesNotHideTwoLengths failed before (200 instead of 411, forwarded) and passes.

--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -136,10 +136,11 @@
 		if len(line) == 0 { // a message must not start with an empty line
 			framing.state = unframed
 		}
-	case len(line) > 0:
-		framing.onHeaderField(line)
-	default:
+	case len(line) == 0:
 		framing.onHeadEnd()
+	case line[0] == ' ' || line[0] == '\t': // continues the value of the field before (RFC 9112, section 5.2)
+	default:
+		framing.onHeaderField(line)
 	}
 }
 
--- a/internal/sidecar/request_framing_test.go
+++ b/internal/sidecar/request_framing_test.go
@@ -58,6 +58,32 @@
 	}
 }
 
+// Guards against a request with two lengths that passes because an earlier request on its connection misled the check: a
+// folded line of a header field is a part of that field's value, whatever it looks like.
+func TestFoldedLineDoesNotHideTwoLengths(t *testing.T) {
+	upstream := newServingUpstream(t, "ok")
+	address, _, _ := startWithUpstream(t, upstream)
+	twoLengths := postHeader("second") + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, folded := range map[string]string{
+		"length":   fmt.Sprintf("X-Note: a\r\n Content-Length: %d\r\n", len(twoLengths)),
+		"tab":      fmt.Sprintf("X-Note: a\r\n\tcontent-length:%d\r\n", len(twoLengths)),
+		"encoding": "X-Note: a\r\n Transfer-Encoding: chunked\r\n",
+	} {
+		first := strings.Replace(postHeader("first"), "POST", "GET", 1)
+		first = strings.Replace(first, "once", "read", 1) + folded + "\r\n"
+		got := exchange(t, address, first+twoLengths+"0\r\n\r\n")
+		if strings.Count(got, "HTTP/1.1 200 ") != 1 || !strings.Contains(got, "HTTP/1.1 411 ") {
+			t.Errorf("%s: got %q, want 200 for the first request and 411 for the second", name, got)
+		}
+		if received := peertest.Await(t, "the first request", upstream.Requests); received.Header.Get("Request-Id") != "first" {
+			t.Errorf("%s: upstream got header %v, want the first request", name, received.Header)
+		}
+		if len(upstream.Requests) > 0 {
+			t.Fatalf("%s: the request with two lengths was forwarded", name)
+		}
+	}
+}
+
 // A body with chunked encoding as its only framing has an unambiguous length. Bytes in the body that
 // look like a request are part of the body, and bytes after the body are the next request.
 func TestChunkedBody(t *testing.T) {
