Fail answers whose length fields net/http and the raw bytes read differently

What callers saw: a node's answer with "Content-Length : 3" (a blank before the colon) and five bytes was served whole, and one with that beside "Content-Length: 5" by the second length.

Cause: net/http ignores a field with a blank in its name. readBody compared its view with the raw bytes for Transfer-Encoding alone, and a head that http1.Framing could not place passed for a good one.

Change: response.isFramingCertain asks that both agree on both fields. Framing knows statuses without a body and takes lines up to the longest head (128 KiB), so that good answers which it lost before still pass.

--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -22,6 +22,7 @@
 	// being read, remaining is the Content-Length of that head.
 	remaining   int64
 	headStarted bool // the first line of the current head has been read
+	hasNoBody   bool // the current head is of a response that never has a body, whatever its fields say
 	current     Head // the head that is being read; Complete is always false
 }
 
@@ -51,8 +52,8 @@
 	unframed
 )
 
-// maxLineBytes is the maximum length of a line. net/http does not accept a larger head.
-const maxLineBytes = 32 << 10
+// maxLineBytes is the maximum length of a line: no reader of this program accepts a larger head.
+const maxLineBytes = 128 << 10
 
 // chunkLineBreakBytes is the length of the line break after a chunk's data.
 const chunkLineBreakBytes = 2
@@ -133,6 +134,7 @@
 	switch {
 	case !framing.headStarted:
 		framing.headStarted = true
+		framing.hasNoBody = isStatusWithoutBody(line)
 		if len(line) == 0 { // a message must not start with an empty line
 			framing.state = unframed
 		}
@@ -144,6 +146,16 @@
 	}
 }
 
+// isStatusWithoutBody reports whether a line is the status line of a response that never has a body: an interim
+// response, 204 or 304 (RFC 9112, section 6.3).
+func isStatusWithoutBody(line []byte) bool {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if !bytes.HasPrefix(version, []byte("HTTP/")) {
+		return false
+	}
+	return bytes.HasPrefix(rest, []byte{'1'}) || bytes.HasPrefix(rest, []byte("204")) || bytes.HasPrefix(rest, []byte("304"))
+}
+
 func (framing *Framing) onHeaderField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	name = bytes.TrimSpace(name)
@@ -171,6 +183,8 @@
 	head.Complete = true
 	framing.heads = append(framing.heads, head)
 	switch {
+	case framing.hasNoBody:
+		framing.remaining = 0
 	case !head.Unambiguous():
 		framing.state = unframed
 	case head.HasTransferEncoding:
--- a/internal/transport/httpnode/delimited_by_close_test.go
+++ b/internal/transport/httpnode/delimited_by_close_test.go
@@ -37,6 +37,8 @@
 		"chunked without the last chunk": {text: chunkedHead + firstChunk, want: policy.ConnectionReset},
 		"unknown encoding":               {text: unknownEncoding, want: policy.ConnectionReset},
 		"two lengths":                    {text: twoLengths, want: policy.ConnectionReset},
+		"a blank before the colon":       {text: statusOK + "Content-Length : 3\r\n\r\nhoney", want: policy.ConnectionReset},
+		"a long line":                    {text: statusOK + "X: " + strings.Repeat("x", 100<<10) + "\r\n\r\nhoney", want: policy.Served},
 		"invalid length":                 {text: statusOK + "Content-Length: five\r\n\r\nhoney", want: policy.ConnectionReset},
 		"server error":                   {text: serverError + "honey", want: policy.ServerError},
 		"server error, then reset":       {text: serverError + "ho", reset: true, want: policy.ServerError},
--- a/internal/transport/httpnode/read_response.go
+++ b/internal/transport/httpnode/read_response.go
@@ -19,7 +19,7 @@
 
 var (
 	errBodyTooLarge    = errors.New("response body exceeds the maximum size")
-	errAmbiguousLength = errors.New("ambiguous body length: Transfer-Encoding with Content-Length or in HTTP/1.0")
+	errAmbiguousLength = errors.New("ambiguous body length: two or invalid length fields, or Transfer-Encoding in HTTP/1.0")
 )
 
 // response is the final response of an upstream.
@@ -67,6 +67,15 @@
 	}
 }
 
+// isFramingCertain reports whether net/http and the raw bytes of the head agree on which field determines the
+// length of the body. They disagree if a field's name has a blank before the colon, for example: net/http then
+// ignores the field, but other readers may not.
+func (result *response) isFramingCertain(isChunked bool) bool {
+	head := result.head
+	ignoresLength := head.HasContentLength && !isChunked && result.ContentLength < 0
+	return head.Unambiguous() && head.HasTransferEncoding == isChunked && !ignoresLength
+}
+
 // readBody reads the body of a response. It returns an error unless the body is certain to be
 // complete. The body ends after the one valid length, after the last chunk or, if the head specifies
 // neither, at the orderly close of the connection (RFC 9112, section 6.3). A reset does not complete
@@ -76,9 +85,8 @@
 // The connection is closed instead if its response was not read completely.
 func (conn *connection) readBody(result *response) (err error) {
 	isChunked := len(result.TransferEncoding) > 0
-	isUnambiguous := isChunked && result.head.Unambiguous()
 	switch {
-	case result.head.HasTransferEncoding && !isUnambiguous:
+	case !result.isFramingCertain(isChunked):
 		return errAmbiguousLength
 	case result.ContentLength > maxResponseBodyBytes:
 		return errBodyTooLarge
--- a/internal/transport/httpnode/read_response_test.go
+++ b/internal/transport/httpnode/read_response_test.go
@@ -65,8 +65,13 @@
 		"too large":                    {text: chunkedHead + tooLarge + lastChunk, want: policy.ConnectionReset},
 		"chunked, then a length":       {text: lengthAfterChunks + firstChunk + lastChunk, want: policy.ConnectionReset},
 		"a length, then chunked":       {text: lengthFirst + firstChunk + lastChunk, want: policy.ConnectionReset},
-		"invalid chunk size":           {text: chunkedHead + firstChunk + "zz\r\n", want: policy.ConnectionReset},
-		"truncated chunk":              {text: chunkedHead + "5\r\nho", close: true, want: policy.ConnectionReset},
+		"a blank before the colon":     {text: statusOK + "Content-Length : 3\r\nTransfer-Encoding: chunked\r\n\r\n" + firstChunk + lastChunk, want: policy.ConnectionReset},
+		"a length before, misplaced": {
+			text: "HTTP/1.1 100 x\r\nContent-Length: 5\r\n\r\n" + lengthFirst + firstChunk + lastChunk, want: policy.ConnectionReset,
+		},
+		"an interim response with a length": {text: "HTTP/1.1 103 x\r\nContent-Length: 5\r\n\r\n" + complete, want: policy.Served},
+		"invalid chunk size":                {text: chunkedHead + firstChunk + "zz\r\n", want: policy.ConnectionReset},
+		"truncated chunk":                   {text: chunkedHead + "5\r\nho", close: true, want: policy.ConnectionReset},
 	} {
 		t.Run(name, func(t *testing.T) { checkAttemptResult(t, test) })
 	}
@@ -81,6 +86,7 @@
 	for name, test := range map[string]responseCase{
 		"two lengths":            {text: twoLengths},
 		"negative length":        {text: statusOK + "Content-Length: -1\r\n\r\nhoney"},
+		"lengths with a blank":   {text: statusOK + "Content-Length : 3\r\nContent-Length: 5\r\n\r\nhoney"},
 		"invalid status":         {text: "HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nhoney"},
 		"another protocol":       {text: "ICY 200 OK\r\nContent-Length: 5\r\n\r\nhoney"},
 		"line without a colon":   {text: withoutColon},
