Reject idempotency keys that an HTTP/1.1 node would not see as they are

What callers saw: a MessagePack-RPC request of a keyed class with the key " " ran twice, once for each attempt, on HTTP/1.1 nodes. An HTTP/1.1 request with an empty Idempotency-Key in a class without keys was forwarded with it.

Cause: blanks at the ends of a value do not exist in HTTP/1.1 (RFC 9110, 5.5). rpcfront checked that there is a key, and not that a node sees the same one; the retry was allowed by a key that the node never got.

Change: rpcfront.checkTexts rejects such a key, checkIdempotencyKey of httpfront answers 400 to an empty one.

--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -155,15 +155,15 @@
 // checkIdempotencyKey checks that a request of a class that is idempotent by key has exactly one
 // idempotency key, and that requests of all other classes have none.
 func checkIdempotencyKey(header http.Header, idempotency policy.Idempotency) *requestError {
-	_, hasKey := singleField(header, "Idempotency-Key")
+	_, hasOneKey := singleField(header, "Idempotency-Key")
 	needsKey := idempotency == policy.IdempotentByKey
-	if hasKey == needsKey && len(header["Idempotency-Key"]) <= 1 {
-		return nil
-	}
-	if needsKey {
+	switch {
+	case needsKey && !hasOneKey:
 		return badRequest("Idempotency-Key must be set once: without it, a retry looks like a new request")
+	case !needsKey && len(header["Idempotency-Key"]) > 0: // also an empty one
+		return badRequest("Idempotency-Key must not be set for this class")
 	}
-	return badRequest("Idempotency-Key must not be set for this class")
+	return nil
 }
 
 func readBody(httpRequest *http.Request, idempotency policy.Idempotency) ([]byte, *requestError) {
--- a/internal/front/rpcfront/read_request.go
+++ b/internal/front/rpcfront/read_request.go
@@ -1,6 +1,7 @@
 package rpcfront
 
 import (
+	"strings"
 	"time"
 
 	"mothridge/internal/core"
@@ -59,11 +60,14 @@
 
 // checkTexts checks the strings that may be written into an HTTP/1.1 head.
 func checkTexts(call *msgrpc.Call) *msgrpc.Fault {
-	if frontend.HasUnprintable(call.ID) {
+	switch {
+	case frontend.HasUnprintable(call.ID):
 		return rejectedFault("id: must be printable ASCII without blanks")
-	}
-	if frontend.HasUnprintable(call.Target) || frontend.HasUnprintable(call.Host) {
+	case frontend.HasUnprintable(call.Target) || frontend.HasUnprintable(call.Host):
 		return rejectedFault("target and host: must be printable ASCII without blanks")
+	case strings.Trim(call.IdempotencyKey, " \t") != call.IdempotencyKey:
+		// An HTTP/1.1 upstream would receive another key, or none, and could run a retry again.
+		return rejectedFault("key: must not begin or end with a blank")
 	}
 	return nil
 }
--- a/internal/front/rpcfront/read_request_test.go
+++ b/internal/front/rpcfront/read_request_test.go
@@ -71,6 +71,8 @@
 		"host":                func(call *msgrpc.Call) { call.Target, call.Host = "/a b", "x" },
 		"left_ms":             func(call *msgrpc.Call) { call.Timeout = 0 },
 		"key":                 func(call *msgrpc.Call) { call.Class = "keyed" },
+		"key: must not begin": func(call *msgrpc.Call) { call.Class, call.IdempotencyKey = "keyed", " \t" },
+		"key: must not":       func(call *msgrpc.Call) { call.Class, call.IdempotencyKey = "keyed", "k1 " },
 		"have":                func(call *msgrpc.Call) { call.IdempotencyKey = "k" },
 		"body: must be empty": func(call *msgrpc.Call) { call.Class = "read" },
 		"field":               func(call *msgrpc.Call) { call.Fields = map[string][]string{"X:Y": {"1"}} },
--- a/internal/sidecar/bad_request_test.go
+++ b/internal/sidecar/bad_request_test.go
@@ -39,6 +39,8 @@
 	"two keys":                         {Class: "keyed", Header: http.Header{"Idempotency-Key": {"a", "b"}}},
 	"key for an unsafe class":          {Class: "once", Header: http.Header{"Idempotency-Key": {"a"}}},
 	"two keys for an unsafe class":     {Class: "once", Header: http.Header{"Idempotency-Key": {"a", "b"}}},
+	"empty key for an unsafe class":    {Class: "once", Header: http.Header{"Idempotency-Key": {""}}},
+	"empty key for a keyed class":      {Class: "keyed", Header: http.Header{"Idempotency-Key": {""}}},
 	"GET for an unsafe class":          {Class: "read", Header: http.Header{"Request-Class": {"once"}}},
 	"GET with a body":                  {Class: "read", Body: "x"},
 	"rejected before the body is read": {Class: "once", Body: largestBody, Header: http.Header{"Request-Class": nil}},
