Reject MessagePack-RPC targets and hosts that no HTTP/1.1 node can read

Cause: rpcfront asked target and host for printable ASCII alone, so the client's error became the node's.

Evidence: two new rows of TestInvalidRequests failed before (no answer, as the calls were submitted) and pass.

--- a/internal/front/rpcfront/read_request.go
+++ b/internal/front/rpcfront/read_request.go
@@ -1,9 +1,12 @@
 package rpcfront
 
 import (
+	"net/url"
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"mothridge/internal/core"
 	"mothridge/internal/front/frontend"
 	"mothridge/internal/msgrpc"
@@ -58,13 +61,18 @@
 	}, nil
 }
 
-// checkTexts checks the strings that may be written into an HTTP/1.1 head.
+// checkTexts checks the strings that may be written into an HTTP/1.1 head, so that a request that no HTTP/1.1
+// reader understands is the client's error and not the upstream's.
 func checkTexts(call *msgrpc.Call) *msgrpc.Fault {
 	switch {
 	case frontend.HasUnprintable(call.ID):
 		return rejectedFault("id: must be printable ASCII without blanks")
 	case frontend.HasUnprintable(call.Target) || frontend.HasUnprintable(call.Host):
 		return rejectedFault("target and host: must be printable ASCII without blanks")
+	case !isTarget(call.Target):
+		return rejectedFault("target: must be a path with valid escapes, such as /api/a%2Fb?q=1")
+	case !httpguts.ValidHostHeader(call.Host):
+		return rejectedFault("host: must be a host name, with a port if needed")
 	case strings.Trim(call.IdempotencyKey, " \t") != call.IdempotencyKey:
 		// An HTTP/1.1 upstream would receive another key, or none, and could run a retry again.
 		return rejectedFault("key: must not begin or end with a blank")
@@ -72,6 +80,11 @@
 	return nil
 }
 
+func isTarget(target string) bool {
+	_, err := url.ParseRequestURI(target)
+	return err == nil
+}
+
 // checkIdempotency checks the rules that depend on the idempotency of the request's class: whether a
 // key is required or forbidden, and whether a body is allowed.
 func checkIdempotency(call *msgrpc.Call, idempotency policy.Idempotency) *msgrpc.Fault {
--- a/internal/front/rpcfront/read_request_test.go
+++ b/internal/front/rpcfront/read_request_test.go
@@ -73,6 +73,8 @@
 		"key":                 func(call *msgrpc.Call) { call.Class = "keyed" },
 		"key: must not begin": func(call *msgrpc.Call) { call.Class, call.IdempotencyKey = "keyed", " \t" },
 		"key: must not":       func(call *msgrpc.Call) { call.Class, call.IdempotencyKey = "keyed", "k1 " },
+		"escape":              func(call *msgrpc.Call) { call.Target = "/api/%zz" },
+		"host: must":          func(call *msgrpc.Call) { call.Host = "a{b}" },
 		"have":                func(call *msgrpc.Call) { call.IdempotencyKey = "k" },
 		"body: must be empty": func(call *msgrpc.Call) { call.Class = "read" },
 		"field":               func(call *msgrpc.Call) { call.Fields = map[string][]string{"X:Y": {"1"}} },
