Forward the path and query of an HTTP/1.1 request as they came

What callers saw: /api/"a"|b^c reached the node as /api/%22a%22%7Cb%5Ec, so did # and bytes beyond ASCII.

Cause: the target was written anew from the parsed URL, which escapes what net/url would have escaped.

Change: a target that begins with / is forwarded as received; net/http has rejected control characters and blanks in it.

--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -90,7 +90,7 @@
 		Deadline:     frontend.Deadline(arrival, fields.timeout),
 		Message: core.Message{
 			Method: frontend.Method(idempotency),
-			Target: httpRequest.URL.RequestURI(),
+			Target: forwardedTarget(httpRequest),
 			Host:   httpRequest.Host,
 			Fields: header,
 			Body:   body,
@@ -107,6 +107,15 @@
 	return nil
 }
 
+// forwardedTarget returns the path and query as the client sent them. URL.RequestURI would escape characters that the
+// client did not escape; it is used only for a target in absolute form, which names the host as well.
+func forwardedTarget(httpRequest *http.Request) string {
+	if strings.HasPrefix(httpRequest.RequestURI, "/") {
+		return httpRequest.RequestURI
+	}
+	return httpRequest.URL.RequestURI()
+}
+
 func (front *Front) readFields(header http.Header) (requestFields, *requestError) {
 	var fields requestFields
 	var ok bool
--- a/internal/sidecar/forward_test.go
+++ b/internal/sidecar/forward_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -36,6 +37,26 @@
 	}
 }
 
+// Guards against a path or query that is escaped anew or cleaned on its way.
+func TestTargetIsForwardedUnchanged(t *testing.T) {
+	upstream := newServingUpstream(t, "ok")
+	address, _, _ := startWithUpstream(t, upstream)
+	for target, want := range map[string]string{
+		"/api/a%2Fb?q=1&r=%20": "", `/api/"a"|b^c?d="e"`: "", "/api/%41%7e": "", "/api/a#b": "", "/api/../b//c?": "", "//api/a": "",
+		"/api/\xc3\xa4?\xe4": "", "/api;v=1,2?a;b": "", "http://host/api/a%2Fb?q": "/api/a%2Fb?q",
+	} {
+		text := strings.Replace(postHeader("a"), "/api", target, 1) + "Connection: close\r\n" + noBody
+		if got := exchange(t, address, text); !strings.HasPrefix(got, "HTTP/1.1 200 ") {
+			t.Errorf("%q: got %q, want 200", target, got)
+			continue
+		}
+		received := peertest.Await(t, "the request", upstream.Requests)
+		if received.RequestURI != cmp.Or(want, target) {
+			t.Errorf("upstream: got target %q, want %q", received.RequestURI, cmp.Or(want, target))
+		}
+	}
+}
+
 func TestResponseBodyIsForwardedUnchanged(t *testing.T) {
 	body := strings.Repeat("\x00honey\r\n", 60000) // real upstreams send responses of this size
 	upstream := peertest.NewUpstream(t, peertest.RespondWith(fmt.Sprintf(
