Drop HTTP/1.1 fields that a MessagePack-RPC message cannot contain

What callers saw: a field in Latin-1 became a str that is not UTF-8, and an answer with over 4,096 fields a message that the protocol page forbids. A reader that takes a str for UTF-8 would lose its connection with all that is open on it; none of the clients in interop does, so the harm is suspected, not shown.

Cause: texts were checked for control bytes and length in answers alone, and requests to MessagePack-RPC nodes not at all.

Evidence: TestFieldsThatAMessageCannotContainAreDropped and rpcnode's TestAttemptResults (whose request now has such a field and one of the client's hop) failed with the code before and pass.

--- a/internal/front/rpcfront/write_response.go
+++ b/internal/front/rpcfront/write_response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"slices"
 	"time"
 
 	"mothridge/internal/core"
@@ -57,29 +56,24 @@
 	return fault.Append(buffer, response.id)
 }
 
+// appendServed appends a served response. Fields that belong to the upstream's hop, or that a message cannot contain,
+// are left out.
 func (response *queuedResponse) appendServed(buffer []byte) []byte {
 	fields := response.result.Fields
 	hopbyhop.Remove(fields)
+	delete(fields, "Date") // only HTTP/1.1 responses have it
 	for name, values := range fields {
-		if !isForwarded(name, values) {
+		if !msgrpc.CanEncodeField(name, values) {
 			delete(fields, name)
 		}
 	}
+	if len(fields) > msgrpc.MaxFields {
+		clear(fields)
+	}
 	result := msgrpc.Result{Fields: fields, Body: response.result.Body, InFlight: -1}
 	return result.Append(buffer, response.id)
 }
 
-// isForwarded reports whether an end-to-end header field of an upstream's response is forwarded to the client. Not
-// forwarded are Date, which only HTTP/1.1 responses have, and fields with characters that a message must not contain.
-func isForwarded(name string, values []string) bool {
-	if name == "Date" || !msgrpc.IsPlainText(name) {
-		return false
-	}
-	return !slices.ContainsFunc(values, isNotPlain)
-}
-
-func isNotPlain(value string) bool { return !msgrpc.IsPlainText(value) }
-
 // writeLoop is the writer. If a client does not read its responses within writeTimeout, its connection
 // is closed, so that the responses do not occupy memory.
 func (conn *clientConn) writeLoop() {
--- a/internal/front/rpcfront/write_response_test.go
+++ b/internal/front/rpcfront/write_response_test.go
@@ -31,6 +31,32 @@
 	}
 }
 
+// Guards against responses that end a client's stream: an HTTP/1.1 node's fields need not be UTF-8, and may be more than a
+// message holds.
+func TestFieldsThatAMessageCannotContainAreDropped(t *testing.T) {
+	handler := newChannelHandler()
+	client := dial(t, startFront(t, Config{}, handler))
+	tooMany := make(map[string][]string)
+	for i := range msgrpc.MaxFields + 1 {
+		tooMany[fmt.Sprint("X-", i)] = []string{"1"}
+	}
+	for name, fields := range map[string]map[string][]string{
+		"Latin-1":    {"X-Name": {"Jos\xe9"}, "X-End": {"1"}},
+		"second one": {"X-Name": {"a", "\xff"}, "X-End": {"1"}},
+		"control":    {"X-Name": {"a\x01"}, "X-End": {"1"}},
+		"too long":   {"X-Name": {strings.Repeat("x", 20_481)}, "X-End": {"1"}},
+		"too many":   tooMany,
+	} {
+		client.call(1, nil)
+		peertest.Await(t, "the request to be submitted", handler.submitted).
+			Respond(core.Response{Result: core.Served, Body: []byte("honey"), Fields: fields})
+		got, err := msgrpc.ParseResult(client.readMessage(t).Result)
+		if err != nil || string(got.Body) != "honey" || got.Fields["X-Name"] != nil || len(got.Fields) > 1 {
+			t.Errorf("%s: got result %+v, error %v; want the body and X-End at most", name, got, err)
+		}
+	}
+}
+
 // All errors must be encoded as maps, or as strings if Config.ErrorsAsText is set: errors of the handler,
 // errors of the front end, and errors that quote the client's input.
 func TestErrorsAsMapsAndTexts(t *testing.T) {
--- a/internal/msgrpc/http_fields.go
+++ b/internal/msgrpc/http_fields.go
@@ -1,6 +1,7 @@
 package msgrpc
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -78,3 +79,10 @@
 	}
 	return fields
 }
+
+// CanEncodeField reports whether a message may contain a header field of an HTTP message. The bytes of an HTTP value
+// need not be UTF-8; a reader that expects UTF-8 in a str could not continue to read its stream.
+func CanEncodeField(name string, values []string) bool {
+	isNotPlain := func(value string) bool { return !isPlainText(value) }
+	return isPlainText(name) && !slices.ContainsFunc(values, isNotPlain)
+}
--- a/internal/msgrpc/mapping.go
+++ b/internal/msgrpc/mapping.go
@@ -38,8 +38,8 @@
 	maxDuration = time.Hour
 	// maxMapKeys is the maximum number of keys of a call, a result or a fault.
 	maxMapKeys = 64
-	// maxFields is the maximum number of header fields of a message.
-	maxFields = 4096
+	// MaxFields is the maximum number of header fields of a message.
+	MaxFields = 4096
 )
 
 // The keys of calls, results and faults.
--- a/internal/msgrpc/parse.go
+++ b/internal/msgrpc/parse.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/textproto"
 	"time"
+	"unicode/utf8"
 
 	"github.com/tinylib/msgp/msgp"
 	"golang.org/x/net/http/httpguts"
@@ -73,15 +74,15 @@
 // isControl reports whether a byte is a control byte. A tab is not.
 func isControl(char byte) bool { return char < ' ' && char != '\t' || char == 0x7f }
 
-// IsPlainText reports whether a string is valid as a text of the mapping: it has no control bytes and is not
-// too long.
-func IsPlainText(text string) bool {
+// isPlainText reports whether a string is valid as a text of the mapping: it is UTF-8, has no control bytes and is
+// not too long.
+func isPlainText(text string) bool {
 	for i := range len(text) {
 		if isControl(text[i]) {
 			return false
 		}
 	}
-	return len(text) <= maxTextBytes
+	return len(text) <= maxTextBytes && utf8.ValidString(text)
 }
 
 // parseBytes parses a bin value, or a str value from an encoder without a bin type.
@@ -162,8 +163,8 @@
 	if err != nil {
 		return nil, b, err
 	}
-	if count > maxFields {
-		return nil, b, fmt.Errorf("must have at most %[2]d fields, got %[1]d", count, maxFields)
+	if count > MaxFields {
+		return nil, b, fmt.Errorf("must have at most %[2]d fields, got %[1]d", count, MaxFields)
 	}
 	fields := make(map[string][]string, min(count, 32))
 	for range count {
--- a/internal/transport/rpcnode/helpers_test.go
+++ b/internal/transport/rpcnode/helpers_test.go
@@ -138,6 +138,10 @@
 			"Tenant":          {"north"},
 			"Request-Timeout": {"9"},
 			"X-Apiary":        {"a", "b"},
+
+			// Not forwarded: a field of the client's hop, and one that is not UTF-8.
+			"Transfer-Encoding": {"chunked"},
+			"X-Name":            {"Jos\xe9"},
 		},
 	}
 }
--- a/internal/transport/rpcnode/request.go
+++ b/internal/transport/rpcnode/request.go
@@ -82,11 +82,12 @@
 }
 
 // newCall converts the request of an attempt to a call. A header field that has its own key in the
-// mapping is stored under that key, any other field in Call.Fields, unless it belongs to one hop.
+// mapping is stored under that key, any other field in Call.Fields, unless it belongs to one hop or a message cannot
+// contain it.
 func newCall(message *core.Message, timeout time.Duration) *msgrpc.Call {
 	call := &msgrpc.Call{Timeout: timeout, Target: message.Target, Host: message.Host, Body: message.Body}
 	for name, values := range message.Fields {
-		if hopbyhop.IsHopByHop(name) || call.SetHTTPField(name, values) {
+		if hopbyhop.IsHopByHop(name) || call.SetHTTPField(name, values) || !msgrpc.CanEncodeField(name, values) {
 			continue
 		}
 		if call.Fields == nil {
