Bound the memory that clients' requests hold together, whole or not

Cause: nothing bounded what requests hold together. Heads cost up to twenty times their bytes once parsed, Framing kept a second copy of long lines, and the runtime's limit left 13 MB to files that are 13.1 MB resident and all else.

Change: frontend.RequestMemory, a budget of an eighth of the runtime's memory for the requests of all listeners (a weighted semaphore of golang.org/x/sync), charged before net/http parses a head, before a body is read, and for MessagePack-RPC messages and calls in flight. 8 KiB of each connection are free, so small requests never wait. What finds no memory within 0.5 s is answered 503 or refused; it was not forwarded. Off without memory_mb.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -102,23 +102,16 @@
 	return c, nil
 }
 
-// nonHeapBytes is the memory that the process uses in addition to the runtime's memory limit:
-// mostly the program's machine code, and the excess over the limit during a garbage collection.
-const nonHeapBytes = 13 << 20
-
 // gcPercent lets a small heap grow to five times its size before a garbage collection.
 const gcPercent = 400
 
-// applyLimits keeps the runtime within the limits of the configuration. The runtime's memory limit
-// is three quarters of the configured one, or what remains after nonHeapBytes if that is less, but
-// at least a quarter.
+// applyLimits keeps the runtime within the limits of the configuration.
 func applyLimits(l sidecar.Limits) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(l.Cores)))
 	}
 	if l.MemoryMB > 0 {
-		limit := l.MemoryMB << 20
-		debug.SetMemoryLimit(max(limit/4, min(limit/4*3, limit-nonHeapBytes)))
+		debug.SetMemoryLimit(l.RuntimeBytes())
 		debug.SetGCPercent(gcPercent)
 	}
 }
--- a/cmd/sidecar/program_test.go
+++ b/cmd/sidecar/program_test.go
@@ -72,6 +72,7 @@
 	discovery        string        // address of discovery; default: an address without a listener
 	endpoint         string        // address of the only endpoint known at the start; empty: none is known
 	memoryMB         int           // memory limit in MiB; default: 192
+	sockets          int           // limit on descriptors; default: 256
 	semantics        string        // semantics of the only class, "a"; empty: not set
 	latencyObjective time.Duration // default: 500 ms
 	deadline         time.Duration // default: 1 s
@@ -85,6 +86,9 @@
 	if config.memoryMB == 0 {
 		config.memoryMB = 192
 	}
+	if config.sockets == 0 {
+		config.sockets = 256
+	}
 	if config.latencyObjective == 0 {
 		config.latencyObjective = 500 * time.Millisecond
 	}
@@ -100,10 +104,10 @@
 		semantics = fmt.Sprintf(`"semantics":%q,`, config.semantics)
 	}
 	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"ff",%s
-		"limits":{"cores":1.0,"memory_mb":%d,"sockets":256},
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},
 		"settings":{"balancers":1,"caps":{"most_tries":3},
 			"classes":[{"name":"a",%s"aim_ms":%d,"hard_limit_ms":%d}]}}`,
-		config.listen, config.discovery, known, config.memoryMB,
+		config.listen, config.discovery, known, config.memoryMB, config.sockets,
 		semantics, config.latencyObjective.Milliseconds(), config.deadline.Milliseconds())
 }
 
--- a/internal/front/httpfront/close.go
+++ b/internal/front/httpfront/close.go
@@ -80,6 +80,7 @@
 func (conn *clientConn) closeLocked(linger time.Duration, reason closeReason) {
 	conn.closeReason = reason
 	conn.state = connClosed
+	conn.memory.Close()
 	if conn.peerClosed.Load() { // there is no client left that could lose a response
 		linger = 0
 	}
--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/http1"
 	"mothridge/internal/sockets"
 )
@@ -32,8 +33,10 @@
 // nevertheless, a request that is not idempotent could run twice.
 type clientConn struct {
 	*net.TCPConn
-	framing  http1.Framing
-	onClosed func(*clientConn) // called once, after the connection was closed
+	framing       http1.Framing
+	onClosed      func(*clientConn) // called once, after the connection was closed
+	memory        *frontend.MemoryAccount
+	onOutOfMemory func() // called when a head is rejected for want of memory
 
 	acceptedAt        time.Time
 	earliestArrival   func(now time.Time) time.Time // see Config.EarliestArrival; may be nil
@@ -44,9 +47,12 @@
 	readAheadExceeded atomic.Bool                   // more than maxReadAheadBytes were received during a request
 
 	// Used only by the goroutine that reads.
-	reader         *sockets.LockedReader
-	requestStarted bool   // the last read received the first byte of a request
-	readAhead      []byte // received during a request; part of the next request
+	reader                *sockets.LockedReader
+	requestStarted        bool   // the last read received the first byte of a request
+	readAhead             []byte // received during a request; part of the next request
+	chargedHeadBytes      int64  // charged to memory for the head of the current request
+	chargedBodyBytes      int64  // charged to memory for the body of the current request
+	chargedReadAheadBytes int64  // charged to memory for readAhead
 
 	// Guarded by the listener's lock (limitedListener.mu).
 	evicted        bool      // being closed because the connection limit is reached
@@ -102,6 +108,7 @@
 // endRequest records that the connection is between requests again. If bytes of the next request
 // were already read, the read timeout of that request starts now.
 func (conn *clientConn) endRequest() {
+	conn.endMemory()
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.state == connServing {
--- a/internal/front/httpfront/counters.go
+++ b/internal/front/httpfront/counters.go
@@ -6,7 +6,8 @@
 	Connections     uint64 // accepted
 	Submitted       uint64 `metric:"taken"`    // requests that were submitted to the handler
 	InvalidRequests uint64 `metric:"rejected"` // requests that got an error response because they were invalid
-	Disconnects     uint64 `metric:"left"`     // clients that disconnected before they received their response
+	OutOfMemory     uint64 // requests that were rejected because Config.Memory was exhausted
+	Disconnects     uint64 `metric:"left"` // clients that disconnected before they received their response
 	AcceptFailures  uint64 `metric:"failed"`
 
 	// Closed connections by reason; see closeReason.
@@ -29,6 +30,7 @@
 		Connections:      listener.accepted.Load(),
 		Submitted:        front.submitted.Load(),
 		InvalidRequests:  front.invalidRequests.Load(),
+		OutOfMemory:      front.outOfMemory.Load() + listener.outOfMemory.Load(),
 		Disconnects:      front.disconnects.Load(),
 		AcceptFailures:   listener.Failures(),
 		ClosedByServer:   listener.closesByReason[closedByServer].Load(),
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -31,7 +31,7 @@
 	maxHeaderBytes = 16 << 10
 )
 
-// Config configures a Front. There are no defaults: all fields except Tenants and EarliestArrival
+// Config configures a Front. There are no defaults: all fields except Tenants, EarliestArrival and Memory
 // must be set.
 type Config struct {
 	// Classes are the names of the request classes. core.Request.Class is an index into Classes.
@@ -47,6 +47,8 @@
 	// EarliestArrival returns the earliest time at which bytes that were read at now may have
 	// arrived. If it is nil, bytes count as having arrived when they are read. It must not block.
 	EarliestArrival func(now time.Time) time.Time
+	// Memory bounds the memory of the requests together with those of other front ends; nil means no bound.
+	Memory *frontend.RequestMemory
 }
 
 // Front serves the clients of one listener.
@@ -61,7 +63,7 @@
 	listener *limitedListener
 	server   *http.Server
 
-	submitted, invalidRequests, disconnects, closedUnanswered atomic.Uint64
+	submitted, invalidRequests, outOfMemory, disconnects, closedUnanswered atomic.Uint64
 }
 
 // New returns a Front for a listener. Serve starts the Front, and Shutdown closes the listener.
@@ -69,7 +71,7 @@
 	front := &Front{
 		handler:  handler,
 		rules:    frontend.NewRequestRules(config.Classes, config.Idempotency, config.Tenants),
-		listener: newLimitedListener(listener, config.MaxConnections, config.EarliestArrival),
+		listener: newLimitedListener(listener, &config),
 	}
 	// ReadTimeout is not set: when it expires during a request, net/http's read that detects a
 	// disconnect fails, and net/http treats the client as disconnected.
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -25,6 +25,8 @@
 	*sockets.RetryingListener
 	maxConnections  int
 	earliestArrival func(now time.Time) time.Time // see Config.EarliestArrival
+	memory          *frontend.RequestMemory       // see Config.Memory
+	outOfMemory     atomic.Uint64                 // requests whose heads were rejected for want of memory
 	accepted        atomic.Uint64
 	closesByReason  [closeReasonCount]atomic.Uint64
 
@@ -37,13 +39,12 @@
 	draining bool
 }
 
-func newLimitedListener(
-	listener net.Listener, maxConnections int, earliestArrival func(now time.Time) time.Time,
-) *limitedListener {
+func newLimitedListener(listener net.Listener, config *Config) *limitedListener {
 	limited := &limitedListener{
 		RetryingListener: sockets.NewRetryingListener(listener),
-		maxConnections:   maxConnections,
-		earliestArrival:  earliestArrival,
+		maxConnections:   config.MaxConnections,
+		earliestArrival:  config.EarliestArrival,
+		memory:           config.Memory,
 	}
 	limited.changed = sync.NewCond(&limited.mu)
 	return limited
@@ -74,6 +75,8 @@
 		acceptedAt:      time.Now(),
 		onClosed:        listener.onClosed,
 		earliestArrival: listener.earliestArrival,
+		memory:          listener.memory.NewAccount(),
+		onOutOfMemory:   func() { listener.outOfMemory.Add(1) },
 	}
 }
 
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -25,10 +25,21 @@
 	if len(buffer) == 1 && conn.netHTTPActive.Load() {
 		return conn.watchForClose(buffer)
 	}
+	count, err := conn.readBuffered(buffer)
+	if count > 0 && !conn.netHTTPActive.Load() && !conn.chargeHead() {
+		return 0, conn.rejectHead()
+	}
+	return count, err
+}
+
+// readBuffered reads the bytes that were read ahead, or else from the socket.
+func (conn *clientConn) readBuffered(buffer []byte) (int, error) {
 	if count := conn.takeReadAhead(buffer); count > 0 {
 		return count, nil
 	}
 	conn.readAhead = nil
+	conn.memory.Remove(conn.chargedReadAheadBytes)
+	conn.chargedReadAheadBytes = 0
 	return conn.readSocket(buffer)
 }
 
@@ -78,7 +89,7 @@
 // watchForClose implements the one-byte read that net/http makes during a request. It returns an
 // error if the client disconnects. Because unread bytes would hide a disconnect, watchForClose
 // continues to read and buffers the bytes. It returns one of them after net/http has interrupted the
-// read with a deadline, or when maxReadAheadBytes are buffered.
+// read with a deadline, or when maxReadAheadBytes are buffered or there is no memory for more.
 func (conn *clientConn) watchForClose(buffer []byte) (int, error) {
 	if len(conn.readAhead) == 0 { // usually no bytes arrive, so this path allocates no memory
 		count, err := conn.readSocket(buffer)
@@ -91,6 +102,9 @@
 		var chunk [readAheadChunkBytes]byte
 		count, err := conn.readSocket(chunk[:min(len(chunk), maxReadAheadBytes-len(conn.readAhead))])
 		conn.readAhead = append(conn.readAhead, chunk[:count]...)
+		if !conn.chargeReadAhead(count) {
+			break // the connection ends with the response, as above maxReadAheadBytes
+		}
 		if err != nil && conn.peerClosed.Load() {
 			return 0, err
 		}
--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -1,6 +1,7 @@
 package httpfront
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -29,6 +30,9 @@
 	detail string // the rule that the request violates
 }
 
+// errOutOfMemory rejects a request whose body finds no memory; a retry is harmless. It is immutable.
+var errOutOfMemory = &requestError{http.StatusServiceUnavailable, "too many large requests at once"}
+
 // Error returns the body of the response without its line break.
 func (err *requestError) Error() string { return http.StatusText(err.status) + ": " + err.detail }
 
@@ -77,7 +81,7 @@
 	if front.handler.HasRequest(fields.id) {
 		return nil, &requestError{http.StatusConflict, "another request with this Request-Id is in flight"}
 	}
-	body, err := readBody(httpRequest, idempotency)
+	body, err := readBody(httpRequest, idempotency, conn)
 	if err != nil {
 		return nil, err
 	}
@@ -175,9 +179,11 @@
 	return nil
 }
 
-func readBody(httpRequest *http.Request, idempotency policy.Idempotency) ([]byte, *requestError) {
-	body, err := readBodyBytes(httpRequest)
+func readBody(httpRequest *http.Request, idempotency policy.Idempotency, conn *clientConn) ([]byte, *requestError) {
+	body, err := readBodyBytes(httpRequest, conn)
 	switch {
+	case errors.Is(err, errOutOfMemory):
+		return nil, errOutOfMemory
 	case err != nil:
 		return nil, badRequest("body was invalid or was not received completely in time")
 	case len(body) > http1.MaxRequestBodyBytes:
@@ -191,12 +197,15 @@
 
 // readBodyBytes reads a body. Of a chunked body that is too large, it returns one byte more than
 // http1.MaxRequestBodyBytes, so that the caller can detect the excess.
-func readBodyBytes(httpRequest *http.Request) ([]byte, error) {
+func readBodyBytes(httpRequest *http.Request, conn *clientConn) ([]byte, error) {
 	switch {
 	case httpRequest.ContentLength == 0:
 		return nil, nil
 	case httpRequest.ContentLength < 0: // chunked
-		return io.ReadAll(io.LimitReader(httpRequest.Body, http1.MaxRequestBodyBytes+1))
+		body := chargedReader{httpRequest.Body, conn}
+		return io.ReadAll(io.LimitReader(body, http1.MaxRequestBodyBytes+1))
+	case !conn.chargeBody(httpRequest.ContentLength):
+		return nil, errOutOfMemory
 	}
 	return http1.ReadExactly(httpRequest.Body, httpRequest.ContentLength)
 }
--- a/internal/front/rpcfront/close.go
+++ b/internal/front/rpcfront/close.go
@@ -31,8 +31,9 @@
 	conn.bufferedBytes = 0
 	conn.mu.Unlock()
 	conn.signalWriter()
-	for _, request := range inFlight {
-		conn.front.handler.Abandon(request)
+	conn.memory.Close()
+	for _, open := range inFlight {
+		conn.front.handler.Abandon(open.Request)
 	}
 }
 
@@ -42,6 +43,7 @@
 	conn.mu.Lock()
 	conn.state = connClosed
 	conn.mu.Unlock()
+	conn.memory.Close()
 	if halfCloser, ok := conn.netConn.(sockets.HalfCloser); ok {
 		_ = sockets.LingeringClose(halfCloser, frontend.LingerTimeout, maxLingerBytes)
 	} else {
--- a/internal/front/rpcfront/connection.go
+++ b/internal/front/rpcfront/connection.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/msgrpc"
 	"mothridge/internal/sockets"
 )
@@ -34,11 +35,16 @@
 	wakeWriter chan struct{} // capacity 1; signals that there is output to write or that the connection is closed
 	acceptedAt time.Time
 
-	malformed int // number of messages that could not be handled; used only by the reader
+	memory *frontend.MemoryAccount
+
+	// Used only by the reader.
+	malformed           int       // number of messages that could not be handled
+	chargedMessageBytes int64     // charged to memory for the message that is being read
+	messageStartedAt    time.Time // when the first bytes of that message were read
 
 	mu             sync.Mutex
 	state          connState
-	inFlight       map[uint32]*core.Request // requests without a response, by msgid
+	inFlight       map[uint32]openRequest // requests without a response, by msgid
 	responseQueue  []queuedResponse
 	bufferedBytes  int       // total size of the bodies in responseQueue and in the writer's batch
 	notifications  []byte    // complete encoded notifications that wait to be written
@@ -47,6 +53,12 @@
 	messageStarted bool      // at least part of a message was read that is not handled yet
 }
 
+// openRequest is a request without a response.
+type openRequest struct {
+	*core.Request
+	chargedBytes int64 // charged to the connection's memory
+}
+
 func newClientConn(front *Front, netConn net.Conn) *clientConn {
 	now := time.Now()
 	return &clientConn{
@@ -54,7 +66,8 @@
 		netConn:    netConn,
 		wakeWriter: make(chan struct{}, 1),
 		acceptedAt: now,
-		inFlight:   make(map[uint32]*core.Request),
+		memory:     front.config.Memory.NewAccount(),
+		inFlight:   make(map[uint32]openRequest),
 		idleSince:  now,
 	}
 }
@@ -84,7 +97,7 @@
 
 // beginRequest records a request as in flight. It returns false if the connection was closed. The
 // request must then not be submitted, because the client sends it again.
-func (conn *clientConn) beginRequest(id uint32, request *core.Request) bool {
+func (conn *clientConn) beginRequest(id uint32, request openRequest) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.state == connClosed {
@@ -98,11 +111,13 @@
 // connection was closed meanwhile. It is called on the handler's goroutine and does not block.
 func (conn *clientConn) respond(id uint32, request *core.Request, result core.Response) {
 	conn.mu.Lock()
-	if conn.inFlight[id] != request {
+	open := conn.inFlight[id]
+	if open.Request != request {
 		conn.mu.Unlock()
 		return
 	}
 	delete(conn.inFlight, id)
+	conn.memory.Remove(open.chargedBytes)
 	conn.responseQueue = append(conn.responseQueue, queuedResponse{id: id, result: result})
 	conn.bufferedBytes += len(result.Body)
 	conn.mu.Unlock()
@@ -127,7 +142,7 @@
 // It may be called from any goroutine and does not block.
 func (conn *clientConn) isAbandoned(id uint32, request *core.Request) bool {
 	conn.mu.Lock()
-	inFlight := conn.inFlight[id] == request
+	inFlight := conn.inFlight[id].Request == request
 	conn.mu.Unlock()
 	return !inFlight || sockets.PeerClosed(conn.netConn)
 }
--- a/internal/front/rpcfront/counters.go
+++ b/internal/front/rpcfront/counters.go
@@ -7,6 +7,7 @@
 	Submitted       uint64 `metric:"taken"`    // requests that were submitted to the handler
 	InvalidRequests uint64 `metric:"rejected"` // requests that got an error response because they were invalid
 	LimitExceeded   uint64 `metric:"flooded"`  // requests above Config.MaxRequestsInFlight or MaxBufferedResponseBytes
+	OutOfMemory     uint64 // requests and messages that were rejected because Config.Memory was exhausted
 	DuplicateIDs    uint64 `metric:"repeated"` // requests ignored because their msgid was already in flight
 	Malformed       uint64 // messages that violated the protocol
 	Stalled         uint64 // connections closed because their client did not read its responses
@@ -20,6 +21,7 @@
 		Submitted:       front.submitted.Load(),
 		InvalidRequests: front.invalidRequests.Load(),
 		LimitExceeded:   front.limitExceeded.Load(),
+		OutOfMemory:     front.outOfMemory.Load(),
 		DuplicateIDs:    front.duplicateIDs.Load(),
 		Malformed:       front.malformed.Load(),
 		Stalled:         front.stalled.Load(),
--- a/internal/front/rpcfront/front.go
+++ b/internal/front/rpcfront/front.go
@@ -52,6 +52,8 @@
 	// EarliestArrival returns the earliest time at which bytes that were read at now may have
 	// arrived. If it is nil, bytes count as having arrived when they are read. It must not block.
 	EarliestArrival func(now time.Time) time.Time
+	// Memory bounds the memory of the requests together with those of other front ends; nil means no bound.
+	Memory *frontend.RequestMemory
 	// ErrorsAsText encodes errors as strings instead of maps, for clients whose codec cannot
 	// decode a map as an error.
 	ErrorsAsText bool
@@ -82,7 +84,7 @@
 	draining  bool
 	closed    bool
 
-	connections, submitted, invalidRequests, limitExceeded, duplicateIDs, malformed, stalled atomic.Uint64
+	connections, submitted, invalidRequests, limitExceeded, outOfMemory, duplicateIDs, malformed, stalled atomic.Uint64
 }
 
 // New returns a Front for a listener. Serve starts the Front, and Shutdown closes the listener.
--- a/internal/front/rpcfront/handle_message.go
+++ b/internal/front/rpcfront/handle_message.go
@@ -12,7 +12,7 @@
 	// after which a connection is closed.
 	maxMalformedMessages = 16
 	// limitExceededRetryAfter is how long a client should wait after a request that was rejected
-	// because the connection has too many requests in flight.
+	// because the connection has too many requests in flight, or because there is no memory.
 	limitExceededRetryAfter = 100 * time.Millisecond
 	// maxQueuedFactor is the maximum number of responses that wait to be written, in multiples
 	// of Config.MaxRequestsInFlight.
@@ -67,11 +67,7 @@
 		return false
 	case limitExceeded:
 		front.limitExceeded.Add(1)
-		conn.queueFault(id, &msgrpc.Fault{
-			Kind:       msgrpc.KindRefused,
-			RetryAfter: limitExceededRetryAfter,
-			Text:       "too many requests in flight or unread responses on this connection",
-		})
+		conn.refuse(id, "too many requests in flight or unread responses on this connection")
 		return true
 	case withinLimits:
 	}
@@ -80,9 +76,15 @@
 		conn.rejectInvalid(id, fault)
 		return true
 	}
+	open := openRequest{Request: request, chargedBytes: memoryOf(request)}
+	if !conn.memory.Add(open.chargedBytes, 0) {
+		front.outOfMemory.Add(1)
+		conn.refuse(id, "too many large requests at once")
+		return true
+	}
 	request.Respond = func(result core.Response) { conn.respond(id, request, result) }
 	request.ClientDisconnected = func() bool { return conn.isAbandoned(id, request) }
-	if !conn.beginRequest(id, request) {
+	if !conn.beginRequest(id, open) {
 		return false
 	}
 	front.submitted.Add(1)
@@ -90,6 +92,11 @@
 	return true
 }
 
+// refuse responds to a call that was not submitted. A retry is harmless.
+func (conn *clientConn) refuse(id uint32, text string) {
+	conn.queueFault(id, &msgrpc.Fault{Kind: msgrpc.KindRefused, RetryAfter: limitExceededRetryAfter, Text: text})
+}
+
 // limitCheck is the result of checking whether a connection may have one more request in flight.
 type limitCheck int
 
@@ -138,13 +145,14 @@
 // does nothing if the request is not in flight.
 func (conn *clientConn) cancel(id uint32) {
 	conn.mu.Lock()
-	request := conn.inFlight[id]
+	open := conn.inFlight[id]
 	delete(conn.inFlight, id)
 	conn.mu.Unlock()
-	if request == nil {
+	if open.Request == nil {
 		return
 	}
-	conn.front.handler.Abandon(request)
+	conn.memory.Remove(open.chargedBytes)
+	conn.front.handler.Abandon(open.Request)
 	conn.queueFault(id, &msgrpc.Fault{Kind: msgrpc.KindCancelled})
 }
 
--- a/internal/front/rpcfront/read_connection.go
+++ b/internal/front/rpcfront/read_connection.go
@@ -17,7 +17,7 @@
 // readLoop is the reader. It reads and handles messages until the connection ends.
 func (conn *clientConn) readLoop() {
 	defer conn.abandonRequests()
-	reader := recordedConn{conn.netConn, sockets.NewLockedReader(conn.netConn, &conn.mu, conn.onRead)}
+	reader := recordedConn{conn.netConn, sockets.NewLockedReader(conn.netConn, &conn.mu, conn.onRead), conn}
 	framer := msgrpc.NewFramer(reader, msgrpc.MaxRequestBytes, frontend.RequestReadTimeout)
 	for {
 		frame, err := framer.Next()
@@ -32,14 +32,21 @@
 	}
 }
 
-// recordedConn is a connection that is read through a LockedReader.
+// recordedConn is a connection that is read through a LockedReader and charges the memory of what it reads.
 type recordedConn struct {
 	net.Conn
-	reader *sockets.LockedReader
+	reader     *sockets.LockedReader
+	clientConn *clientConn
 }
 
-// Read implements net.Conn.
-func (conn recordedConn) Read(buffer []byte) (int, error) { return conn.reader.Read(buffer) }
+// Read implements net.Conn. The error is errOutOfMemory if there is no memory for the bytes that were read.
+func (conn recordedConn) Read(buffer []byte) (int, error) {
+	count, err := conn.reader.Read(buffer)
+	if !conn.clientConn.chargeMessage(count) {
+		return 0, errOutOfMemory
+	}
+	return count, err
+}
 
 // onRead records that bytes were read. It returns false if the connection is closed, and the bytes
 // are then dropped. The caller holds conn.mu.
@@ -57,6 +64,7 @@
 // onMessageHandled records that a message was handled. remaining is the number of bytes of the
 // following messages that were already read.
 func (conn *clientConn) onMessageHandled(remaining int) {
+	conn.endMessage(remaining)
 	conn.mu.Lock()
 	conn.messageStarted = remaining > 0
 	finished := conn.state == connFinishing && conn.isIdleLocked()
@@ -75,14 +83,18 @@
 	return now
 }
 
-// onReadError handles a failed read. If the message cannot be framed or was not complete in time, it
-// counts the message as malformed and writes the reason to the client, which blocks for at most
+// onReadError handles a failed read. If the message cannot be framed, was not complete in time or found no memory, it
+// counts the message and writes the reason to the client, which blocks for at most
 // protocolErrorTimeout. If the client closed the connection, it does nothing.
 func (conn *clientConn) onReadError(err error) {
-	if !isFramingError(err) && !errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, errOutOfMemory):
+		conn.front.outOfMemory.Add(1)
+	case isFramingError(err), errors.Is(err, os.ErrDeadlineExceeded):
+		conn.front.malformed.Add(1)
+	default:
 		return
 	}
-	conn.front.malformed.Add(1)
 	conn.netConn.SetWriteDeadline(time.Now().Add(protocolErrorTimeout))
 	// Write errors are ignored because the connection is closed in any case.
 	_, _ = conn.netConn.Write(msgrpc.AppendProtocolError(nil, err.Error()))
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -14,16 +14,18 @@
 //
 // The zero Framing is ready to use. Its methods may be called concurrently.
 type Framing struct {
-	mu    sync.Mutex
-	heads []Head // complete heads that NextHead has not returned yet
-	state framingState
-	line  []byte // the received part of an incomplete line
+	mu        sync.Mutex
+	heads     []Head // complete heads that NextHead has not returned yet
+	state     framingState
+	line      []byte // the first keptLineBytes of the received part of an incomplete line
+	lineBytes int    // length of the received part of an incomplete line
 	// remaining is the number of bytes left in the current body or chunk. While a head is
 	// being read, remaining is the Content-Length of that head.
-	remaining   int64
-	headStarted bool // the first line of the current head has been read
-	hasNoBody   bool // the current head is of a response that never has a body, whatever its fields say
-	current     Head // the head that is being read; Complete is always false
+	remaining            int64
+	headStarted          bool // the first line of the current head has been read
+	hasNoBody            bool // the current head is of a response that never has a body, whatever its fields say
+	current              Head // the head that is being read; Complete is always false
+	headBytes, headLines int  // size of the complete lines of the current or the last head
 }
 
 // Head records which fields of a message's head determine the length of the message.
@@ -55,6 +57,9 @@
 // maxLineBytes is the maximum length of a line: no reader of this program accepts a larger head.
 const maxLineBytes = 128 << 10
 
+// keptLineBytes is the part of a line that is kept. It contains the name of a field and any length.
+const keptLineBytes = 1 << 10
+
 // chunkLineBreakBytes is the length of the line break after a chunk's data.
 const chunkLineBreakBytes = 2
 
@@ -89,18 +94,25 @@
 func (framing *Framing) readLine(data []byte) []byte {
 	end := bytes.IndexByte(data, '\n')
 	if end < 0 {
-		framing.line = append(framing.line, data...)
-		if len(framing.line) > maxLineBytes {
+		framing.appendToLine(data)
+		if framing.lineBytes > maxLineBytes {
 			framing.state = unframed
 		}
 		return nil
 	}
-	framing.line = append(framing.line, data[:end]...)
+	framing.appendToLine(data[:end])
 	framing.onLine(bytes.TrimSuffix(framing.line, []byte{'\r'}))
 	framing.line = framing.line[:0]
+	framing.lineBytes = 0
 	return data[end+1:]
 }
 
+func (framing *Framing) appendToLine(data []byte) {
+	framing.lineBytes += len(data)
+	free := keptLineBytes - len(framing.line)
+	framing.line = append(framing.line, data[:min(free, len(data))]...)
+}
+
 // onLine handles a complete line, which is passed without its line break.
 func (framing *Framing) onLine(line []byte) {
 	switch framing.state {
@@ -131,9 +143,11 @@
 }
 
 func (framing *Framing) onHeadLine(line []byte) {
+	defer framing.addHeadLine()
 	switch {
 	case !framing.headStarted:
 		framing.headStarted = true
+		framing.headBytes, framing.headLines = 0, 0
 		framing.hasNoBody = isStatusWithoutBody(line)
 		if len(line) == 0 { // a message must not start with an empty line
 			framing.state = unframed
@@ -146,6 +160,24 @@
 	}
 }
 
+func (framing *Framing) addHeadLine() {
+	framing.headBytes += framing.lineBytes + len("\n")
+	framing.headLines++
+}
+
+// HeadSize returns the number of bytes and of complete lines of the head that is being read, or of the last one.
+func (framing *Framing) HeadSize() (bytes, lines int) {
+	framing.mu.Lock()
+	defer framing.mu.Unlock()
+	if framing.state != inHead {
+		return framing.headBytes, framing.headLines
+	}
+	if !framing.headStarted {
+		return max(framing.headBytes, framing.lineBytes), framing.headLines
+	}
+	return framing.headBytes + framing.lineBytes, framing.headLines
+}
+
 // isStatusWithoutBody reports whether a line is the status line of a response that never has a body: an interim
 // response, 204 or 304 (RFC 9112, section 6.3).
 func isStatusWithoutBody(line []byte) bool {
@@ -203,7 +235,7 @@
 	framing.mu.Lock()
 	defer framing.mu.Unlock()
 	headRead := len(framing.heads) > 0
-	headIncomplete := framing.headStarted || len(framing.line) > 0
+	headIncomplete := framing.headStarted || framing.lineBytes > 0
 	return headRead || headIncomplete || framing.state != inHead
 }
 
--- a/internal/http1/framing_test.go
+++ b/internal/http1/framing_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// The size of the head that is being read, or of the last one, regardless of how the bytes are split.
+func TestHeadSize(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nA: b\r\nContent-Length: 3\r\n\r\n"
+	var framing Framing
+	for i := range head {
+		framing.Observe([]byte(head[i : i+1]))
+		if bytes, lines := framing.HeadSize(); bytes < i || bytes > i+1 || lines != strings.Count(head[:i+1], "\n") {
+			t.Fatalf("after %d bytes: got %d bytes and %d lines", i+1, bytes, lines)
+		}
+	}
+	framing.Observe([]byte("abc"))
+	if bytes, lines := framing.HeadSize(); bytes < len(head)-4 || lines != 4 {
+		t.Errorf("after the body: got %d bytes and %d lines, want those of the head", bytes, lines)
+	}
+	framing.Observe([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("x", 20_000)))
+	if bytes, lines := framing.HeadSize(); bytes < 20_000 || lines != 1 || cap(framing.line) > 2*keptLineBytes {
+		t.Errorf("long line: got %d bytes, %d lines and %d bytes kept", bytes, lines, cap(framing.line))
+	}
+}
+
 // For any input: if net/http reads a request with a Transfer-Encoding and Framing reports its head
 // as unambiguous, the head must not contain a Content-Length.
 func FuzzFraming(f *testing.F) {
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/registry/platform"
 	"mothridge/membership"
 )
@@ -29,6 +30,32 @@
 	return clients, available - clients
 }
 
+const (
+	minRuntimeShare = 4 // the runtime gets at least a quarter
+	// nonHeapBytes is the memory that the process uses in addition to the runtime's memory limit:
+	// mostly the program's machine code, and the excess over the limit during a garbage collection.
+	nonHeapBytes = 16 << 20
+)
+
+// RuntimeBytes returns the memory limit of the Go runtime in bytes: three quarters of the memory, or what remains after
+// nonHeapBytes if that is less, but at least a quarter. It returns 0 if the memory is unlimited.
+func (l Limits) RuntimeBytes() int64 {
+	limit := l.MemoryMB << 20
+	return max(limit/minRuntimeShare, min(limit/4*3, limit-nonHeapBytes))
+}
+
+// requestMemoryShare is the share of the runtime's memory that clients' requests may hold, beside what each
+// connection costs: an eighth.
+const requestMemoryShare = 8
+
+// requestMemory returns the memory of clients' requests, nil if it is unlimited.
+func (l Limits) requestMemory() *frontend.RequestMemory {
+	if l.MemoryMB <= 0 {
+		return nil
+	}
+	return frontend.NewRequestMemory(l.RuntimeBytes() / requestMemoryShare)
+}
+
 const (
 	// bytesPerInstance is the memory for one endpoint in all packages together, including the peak while
 	// the list is read for the first time (docs/benchmarks.md).
--- a/internal/sidecar/listeners.go
+++ b/internal/sidecar/listeners.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/front/httpfront"
 	"mothridge/internal/front/rpcfront"
 	"mothridge/internal/metrics"
@@ -50,6 +51,7 @@
 func (s *service) newFrontEnds(listeners []net.Listener) []frontEnd {
 	clients, _ := s.config.Limits.connections()
 	connectionsPerListener := clients / len(listeners)
+	memory := s.config.Limits.requestMemory()
 	frontEnds := make([]frontEnd, len(listeners))
 	for i, listener := range listeners {
 		settings := operator.Listener{Protocol: operator.HTTP} // of the platform's listener
@@ -57,11 +59,11 @@
 			settings = s.config.Operator.Listeners[i-1]
 		}
 		if settings.Protocol == operator.HTTP {
-			f := s.newHTTPFrontEnd(listener, connectionsPerListener)
+			f := s.newHTTPFrontEnd(listener, connectionsPerListener, memory)
 			frontEnds[i] = f
 			s.addListenerMetrics(listener, settings.Protocol, func() any { return f.Counters() })
 		} else {
-			f := s.newRPCFrontEnd(listener, connectionsPerListener, settings)
+			f := s.newRPCFrontEnd(listener, connectionsPerListener, memory, settings)
 			frontEnds[i] = f
 			s.addListenerMetrics(listener, settings.Protocol, func() any { return f.Counters() })
 		}
@@ -69,23 +71,29 @@
 	return frontEnds
 }
 
-func (s *service) newHTTPFrontEnd(listener net.Listener, connections int) *httpfront.Front {
+func (s *service) newHTTPFrontEnd(
+	listener net.Listener, connections int, memory *frontend.RequestMemory,
+) *httpfront.Front {
 	return httpfront.New(httpfront.Config{
 		Classes:         s.config.Classes,
 		Idempotency:     s.config.idempotencies(),
 		Tenants:         s.config.Tenants,
 		MaxConnections:  connections,
 		EarliestArrival: s.core.EarliestArrival,
+		Memory:          memory,
 	}, s.handler, listener)
 }
 
-func (s *service) newRPCFrontEnd(listener net.Listener, connections int, settings operator.Listener) *rpcfront.Front {
+func (s *service) newRPCFrontEnd(
+	listener net.Listener, connections int, memory *frontend.RequestMemory, settings operator.Listener,
+) *rpcfront.Front {
 	return rpcfront.New(rpcfront.Config{
 		Classes:                  s.config.Classes,
 		Idempotency:              s.config.idempotencies(),
 		Tenants:                  s.config.Tenants,
 		MaxConnections:           connections,
 		EarliestArrival:          s.core.EarliestArrival,
+		Memory:                   memory,
 		MaxRequestsInFlight:      int(settings.MaxInFlight),
 		MaxBufferedResponseBytes: int(settings.MaxBufferedBytes),
 		ErrorsAsText:             settings.ErrorFormat == operator.ErrorTexts,
