Follow the platform's removals at once also beside another source

Cause: membership protected the platform's list as that of a registry that may be wrong: a loss of over 0.3 is held for ten minutes, and a tombstone gives way only to a later registration, which entries without times never are. The protocol makes the platform's list an instruction.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -72,7 +72,7 @@
 func (c *Config) newMembership() (*membership.Set, error) {
 	var sources []membership.Source
 	if c.Operator.UsesPlatform() {
-		sources = append(sources, membership.Source{Name: "platform"})
+		sources = append(sources, membership.Source{Name: "platform", Authoritative: true})
 	}
 	for _, e := range c.Operator.Eureka {
 		sources = append(sources, membership.Source{Name: e.Name, Polled: true})
--- a/membership/loss_protection.go
+++ b/membership/loss_protection.go
@@ -12,7 +12,9 @@
 // of the source. A source may therefore lose at most the share Config.MaxLoss of its instances
 // within Config.LossWindow, but always one instance, and never its last one. If it loses more, the
 // lost instances are held: they stay in the view with their last status. After Config.LossHold
-// they are removed, if their source then responds and lists at least one other instance.
+// they are removed, if their source then responds and lists at least one other instance. The list of an
+// authoritative source is an instruction and not a report: the instances that it loses are removed at once, even
+// the last one.
 
 // removeInstance handles an instance that its source reports as deregistered.
 func (s *Set) removeInstance(now time.Duration, src *source, removed *Instance) {
@@ -64,6 +66,9 @@
 // lossAllowed reports whether a source may lose n more live instances now. The losses within
 // Config.LossWindow are summed.
 func (src *source) lossAllowed(now time.Duration, n int, cfg *Config) bool {
+	if src.authoritative {
+		return true
+	}
 	live := src.recordCount[recordLive]
 	if now-src.lossWindowStart >= cfg.LossWindow || src.lossBaseline < live {
 		src.lossWindowStart, src.lossBaseline = now, live
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -1,7 +1,7 @@
 // Package membership decides which endpoints a sidecar has and whether each of them may receive
 // requests. It merges the lists of any number of sources (a registry, the platform's discovery, a
-// static list) into one view and protects that view against faults of the sources. A source cannot
-// empty the view by not responding or by losing many instances at once. An update that is older
+// static list) into one view and protects that view against faults of the sources. No source can empty the
+// view by not responding, and only an authoritative one can by losing many instances at once. An update that is older
 // than the current record does not replace the record. An endpoint that a source takes out of
 // service drains immediately.
 //
@@ -65,7 +65,7 @@
 
 // ReplaceList applies a complete list from a source. replica names the server of the source that
 // the list came from. Instances that the Set has from the source and that are absent from the list
-// are lost: they are removed, or held if more are lost than Config.MaxLoss allows. The error is a
+// are lost: they are removed, or held if more are lost than Config.MaxLoss allows and the source is not authoritative. The error is a
 // *ListTooLongError; the list is then not applied at all.
 func (s *Set) ReplaceList(now time.Duration, sourceIndex int, replica string, list []Instance) ([]Change, error) {
 	src := s.sources[sourceIndex]
--- a/membership/sources.go
+++ b/membership/sources.go
@@ -9,6 +9,9 @@
 type Source struct {
 	Name   string // shown to operators
 	Polled bool   // polled regularly, so the source counts as silent after Config.SilentAfter without a response
+	// Authoritative reports that the list of the source is an instruction and its updates are in order: an instance that it
+	// removes or no longer lists is removed at once, however many there are, and no update of it is stale.
+	Authoritative bool
 }
 
 // SourceState is the state of a source as shown to operators.
@@ -60,6 +63,7 @@
 type source struct {
 	name           string
 	polled         bool
+	authoritative  bool
 	records        map[string]*record // by instance ID
 	recordCount    [recordStateCount]int
 	replica        string // name of the server that sent the last list or delta
@@ -76,7 +80,12 @@
 }
 
 func newSource(config Source) *source {
-	src := &source{name: config.Name, polled: config.Polled, records: make(map[string]*record)}
+	src := &source{
+		name:          config.Name,
+		polled:        config.Polled,
+		authoritative: config.Authoritative,
+		records:       make(map[string]*record),
+	}
 	for status := range src.statusReasons {
 		src.statusReasons[status] = Status(status).String() + " by " + src.name
 	}
