--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -295,7 +295,7 @@
 	if n.startedAt.IsZero() || age > slowStartDuration {
 		return
 	}
-	n.arrivals = append(n.arrivals, arrival{now, !startKnownAt.After(now)})
+	n.arrivals = append(n.arrivals, arrival{now, number, !startKnownAt.After(now)})
 	inWindow, withStartKnown := 0, 0
 	for _, a := range n.arrivals {
 		if now.Sub(a.at) <= slowStartOverloadWindow {
@@ -311,11 +311,20 @@
 	if limit := requestBudget(
 		slowStartOverloadFactor * capacity * slowStartOverloadWindow.Seconds(),
 	); float64(inWindow) > limit && 3*withStartKnown > 2*inWindow {
-		env.checker.addViolation(WarmUpOverload, "%s, started %v ago, got %d requests within %v, want at most %.0f",
-			n.name, age, inWindow, slowStartOverloadWindow, limit)
+		knownAt := func(sidecar int) time.Time { return env.startKnown(n.name, sidecar) }
+		env.checker.addViolation(WarmUpOverload, "%s, started %v ago, got %d requests within %v, want at most %.0f; "+
+			"by sidecar, with the time for which it has known the start: %s", n.name, age, inWindow, slowStartOverloadWindow, limit,
+			describeArrivals(n.arrivals, now.Add(-slowStartOverloadWindow), now, knownAt))
 	}
 }
 
+// startKnown returns when a sidecar counts as having received a node's last start.
+func (env *environment) startKnown(nodeName string, sidecar int) time.Time {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	return env.startKnownAt[fmt.Sprint(nodeName, "/", sidecar)]
+}
+
 // injectFaults injects one fault after the other, with a pause of less than 0.5 s before each, until less than
 // settleTime is left.
 func (env *environment) injectFaults(rng *rand.Rand) {
