--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -72,6 +72,7 @@
 type checker struct {
 	startedAt time.Time // of the soak
 	lag       lagMeter
+	overflows overflowMeter
 
 	mu           sync.Mutex
 	records      map[string]*requestRecord // by request id
@@ -122,7 +123,10 @@
 // recordAttempt records a request that a node has read completely. timeout is the request timeout that the
 // node got, executed says whether the node executes the effect, and delay is how long the request may have
 // waited before the node read it.
-func (c *checker) recordAttempt(nodeName, id string, timeout time.Duration, executed bool, delay time.Duration) {
+// circumstances describes the arrival in violations.
+func (c *checker) recordAttempt(
+	nodeName, id string, timeout time.Duration, executed bool, delay time.Duration, circumstances string,
+) {
 	now := time.Now().Add(-delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,8 +136,8 @@
 		return
 	}
 	if remaining := max(r.deadline.Sub(now), 0); timeout > remaining+deadlineSlack+stallSlack+c.lag.slack() && !r.excused {
-		c.addViolationLocked(Deadline, "%s: the node got a request timeout of %v, the client had %v left",
-			id, timeout, remaining)
+		c.addViolationLocked(Deadline, "%s: the node %s got a request timeout of %v, the client had %v left; %s",
+			id, nodeName, timeout, remaining, circumstances)
 	}
 	if !r.clientDisconnectedAt.IsZero() && now.Sub(r.clientDisconnectedAt) > disconnectSlack+stallSlack+c.lag.slack() {
 		c.addViolationLocked(SentAfterDisconnect, "%s reached a node %v after its client had closed the connection",
@@ -145,7 +149,8 @@
 		case r.class.idempotency == notIdempotent:
 			c.addViolationLocked(Duplicate, "%s was executed by %s and by %s", id, earlier.node, nodeName)
 		case now.Sub(earlier.at) > r.class.dedupWindow+stallSlack+c.lag.slack():
-			c.addViolationLocked(Duplicate, "%s was executed again %v after the first execution", id, now.Sub(earlier.at))
+			c.addViolationLocked(Duplicate, "%s was executed again by %s %v after the first execution by %s; %s",
+				id, nodeName, now.Sub(earlier.at), earlier.node, circumstances)
 		}
 	}
 	r.attempts = append(r.attempts, attempt{now, executed, nodeName})
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -164,7 +164,7 @@
 // the node accepted the connection. A request without an id is not a client's: it gets status 200 and no body.
 func (n *node) serve(c net.Conn, delay time.Duration) {
 	reader := bufio.NewReader(c)
-	for {
+	for number := 1; ; number++ {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
 			return
@@ -174,7 +174,7 @@
 		}
 		if id := req.Header.Get("Request-Id"); id == "" {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		} else if !n.handle(c, id, req, delay) {
+		} else if !n.handle(c, id, req, delay, number) {
 			return
 		}
 		delay = 0
@@ -182,8 +182,8 @@
 }
 
 // handle records a request and responds as the node's behaviour says. It returns false if the connection
-// must be closed. The request may have waited for up to delay before it was read.
-func (n *node) handle(c net.Conn, id string, req *http.Request, delay time.Duration) bool {
+// must be closed. The request may have waited for up to delay before it was read; number is its number on the connection.
+func (n *node) handle(c net.Conn, id string, req *http.Request, delay time.Duration, number int) bool {
 	seconds, _ := strconv.ParseFloat(req.Header.Get("Request-Timeout"), 64)
 	timeout := time.Duration(seconds * float64(time.Second))
 	n.mu.Lock()
@@ -192,7 +192,8 @@
 	n.mu.Unlock()
 	n.env.checkArrival(n, id, delay)
 	rejected := behaviour == fails && draw < 50
-	n.env.checker.recordAttempt(n.name, id, timeout, !rejected, delay)
+	n.env.checker.recordAttempt(n.name, id, timeout, !rejected, delay, fmt.Sprintf(
+		"request %d of its connection, node behaviour %d, %d samples with listen overflows", number, behaviour, n.env.checker.overflows.recent()))
 	time.Sleep(pause)
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 	switch {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,7 +13,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -85,14 +84,16 @@
 	env.checker = newChecker(env.startedAt)
 	stopMeasuring := make(chan struct{})
 	defer close(stopMeasuring)
-	go env.checker.lag.run(func() bool {
+	isStopped := func() bool {
 		select {
 		case <-stopMeasuring:
 			return true
 		default:
 			return false
 		}
-	})
+	}
+	go env.checker.lag.run(isStopped)
+	go env.checker.overflows.run(isStopped)
 	defer env.close()
 	if err := env.start(); err != nil {
 		return nil, err
@@ -213,118 +214,6 @@
 // sleep sleeps for d, but not past the end of the soak.
 func (env *environment) sleep(d time.Duration) { time.Sleep(min(d, max(0, time.Until(env.endsAt)))) }
 
-// setHealth sets a node's health in the registry. A sidecar counts as having received the change at once, or,
-// while a fault affects its agent, at the time when the sidecar must have received the change at the latest.
-func (env *environment) setHealth(n *node, health string) {
-	n.mu.Lock()
-	n.health = health
-	startMS := int64(0)
-	if !n.startedAt.IsZero() {
-		startMS = n.startedAt.UnixMilli()
-	}
-	n.mu.Unlock()
-	env.mu.Lock()
-	for _, s := range env.sidecars {
-		key := fmt.Sprint(n.name, "/", s.number)
-		knownAt := time.Now()
-		s.mu.Lock()
-		if applied := s.discoveryChangedAt.Add(4 * time.Second); applied.After(knownAt) {
-			knownAt = applied // a new configuration may take 4 s to take effect
-		}
-		a := s.agents[s.activeAgent]
-		s.mu.Unlock()
-		a.mu.Lock()
-		if a.downUntil.After(knownAt) {
-			knownAt = a.downUntil
-		}
-		if recovered := a.watchesMutedAt.Add(silentWatchTimeout); recovered.After(knownAt) && !a.watchesMutedAt.IsZero() {
-			knownAt = recovered // a watch that has fallen silent does not deliver the change
-		}
-		knownAt = knownAt.Add(2 * a.responseDelay) // one delay for the complete list, one for the watch
-		a.mu.Unlock()
-		if health == "up" {
-			delete(env.drainKnownAt, key)
-			env.startKnownAt[key] = knownAt
-		} else if _, known := env.drainKnownAt[key]; !known {
-			env.drainKnownAt[key] = knownAt
-		}
-	}
-	env.mu.Unlock()
-	env.registry.set(hostEntry{
-		Host: n.name, Dial: n.ln.Addr().String(), Site: "a", Class: "m", Block: 1,
-		Health: health, Share: 1, BornMS: startMS,
-	})
-}
-
-// checkArrival checks the invariants Drain and WarmUpOverload for a request that has reached a node. The request may
-// have waited for up to delay before the node read it.
-func (env *environment) checkArrival(n *node, id string, delay time.Duration) {
-	var number int
-	if _, err := fmt.Sscanf(id, "%d-", &number); err != nil || number >= len(env.sidecars) {
-		return
-	}
-	s, now := env.sidecars[number], time.Now().Add(-delay)
-	key := fmt.Sprint(n.name, "/", number)
-	env.mu.Lock()
-	drainKnownAt, draining := env.drainKnownAt[key]
-	startKnownAt := env.startKnownAt[key]
-	env.mu.Unlock()
-	// A sidecar with pushed lists does not detect a slow agent, so silentWatchTimeout is added.
-	if s.agent().delayedSince(drainKnownAt.Add(-settleTime)) {
-		drainKnownAt = drainKnownAt.Add(silentWatchTimeout)
-	}
-	if s.agent().delayedSince(startKnownAt.Add(-settleTime)) {
-		startKnownAt = startKnownAt.Add(silentWatchTimeout)
-	}
-	s.mu.Lock()
-	stalledUntil, processStartedAt := s.stalledUntil, s.startedAt
-	s.mu.Unlock()
-	if drainKnownAt.Before(processStartedAt) {
-		// A new process has received the drain by its start, because it needs a list before it sends requests.
-		drainKnownAt = processStartedAt
-	}
-	if stalledUntil.After(drainKnownAt) {
-		drainKnownAt = stalledUntil
-	}
-	if late := now.Sub(drainKnownAt); draining && late > drainGrace+stallSlack+env.checker.lag.slack() {
-		env.checker.addViolation(Drain, "%s was sent to %s %v after the sidecar had received the drain", id, n.name, late)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	age := now.Sub(n.startedAt)
-	if n.startedAt.IsZero() || age > slowStartDuration {
-		return
-	}
-	n.arrivals = append(n.arrivals, arrival{now, number, !startKnownAt.After(now)})
-	inWindow, withStartKnown := 0, 0
-	for _, a := range n.arrivals {
-		if now.Sub(a.at) <= slowStartOverloadWindow {
-			inWindow++
-			if a.startKnown {
-				withStartKnown++
-			}
-		}
-	}
-	capacity := fleetQuota / float64(env.cfg.Nodes) * (slowStartInitialShare +
-		(1-slowStartInitialShare)*max(0, age-slowStartOverloadWindow).Seconds()/slowStartDuration.Seconds())
-	// The budget applies if more than two thirds of the requests come from sidecars that have received the start.
-	if limit := requestBudget(
-		slowStartOverloadFactor * capacity * slowStartOverloadWindow.Seconds(),
-	); float64(inWindow) > limit && 3*withStartKnown > 2*inWindow {
-		knownAt := func(sidecar int) time.Time { return env.startKnown(n.name, sidecar) }
-		env.checker.addViolation(WarmUpOverload, "%s, started %v ago, got %d requests within %v, want at most %.0f; "+
-			"by sidecar, with the time for which it has known the start: %s", n.name, age, inWindow, slowStartOverloadWindow, limit,
-			describeArrivals(n.arrivals, now.Add(-slowStartOverloadWindow), now, knownAt))
-	}
-}
-
-// startKnown returns when a sidecar counts as having received a node's last start.
-func (env *environment) startKnown(nodeName string, sidecar int) time.Time {
-	env.mu.Lock()
-	defer env.mu.Unlock()
-	return env.startKnownAt[fmt.Sprint(nodeName, "/", sidecar)]
-}
-
 // injectFaults injects one fault after the other, with a pause of less than 0.5 s before each, until less than
 // settleTime is left.
 func (env *environment) injectFaults(rng *rand.Rand) {
@@ -356,118 +245,6 @@
 	return s
 }
 
-// faults lists the faults from which a soak draws. inject returns when the fault has ended or has been injected.
-var faults = []struct {
-	name   string
-	inject func(*environment, *rand.Rand)
-}{
-	{"planned restart", func(env *environment, rng *rand.Rand) {
-		if s := env.drawSidecar(rng); s != nil {
-			s.terminate()
-			env.reportError(s.start())
-			s.awaitReady(readyTimeout)
-		}
-	}},
-	{"kill", func(env *environment, rng *rand.Rand) {
-		if s := env.drawSidecar(rng); s != nil {
-			env.reportError(s.killAndRestart())
-		}
-	}},
-	{"stop and go on", func(env *environment, rng *rand.Rand) {
-		if s := env.drawSidecar(rng); s != nil {
-			s.stall(time.Duration(400+rng.IntN(1300)) * time.Millisecond)
-		}
-	}},
-	{"new configuration", func(env *environment, rng *rand.Rand) {
-		s := env.drawSidecar(rng)
-		if s == nil {
-			return
-		}
-		s.mu.Lock()
-		s.activeAgent, s.discoveryChangedAt = 1-s.activeAgent, time.Now()
-		text := s.config()
-		s.mu.Unlock()
-		env.reportError(s.writeConfig(text))
-		s.signal(syscall.SIGHUP)
-		if rng.IntN(2) == 0 { // Shortly after, an unreadable configuration and then the valid one again.
-			time.Sleep(time.Duration(rng.IntN(50)) * time.Millisecond)
-			env.reportError(s.writeConfig(text[:len(text)/2]))
-			s.signal(syscall.SIGHUP)
-			time.Sleep(50 * time.Millisecond)
-			env.reportError(s.writeConfig(text))
-			s.signal(syscall.SIGHUP)
-		}
-	}},
-	{"discovery down", func(env *environment, rng *rand.Rand) {
-		d := time.Duration(1+rng.IntN(5)) * time.Second
-		for _, s := range env.sidecars {
-			for _, a := range s.agents {
-				a.stopResponding(d)
-			}
-		}
-		env.sleep(d)
-	}},
-	{"watches fall silent", func(env *environment, rng *rand.Rand) {
-		for _, s := range env.sidecars {
-			s.agent().muteWatches()
-		}
-		env.sleep(2 * time.Second)
-	}},
-	{"watches are reset", func(env *environment, rng *rand.Rand) {
-		for _, s := range env.sidecars {
-			s.agent().resetWatches()
-		}
-	}},
-	{"slow discovery", func(env *environment, rng *rand.Rand) {
-		for _, s := range env.sidecars {
-			s.agent().setResponseDelay(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		}
-		env.sleep(3 * time.Second)
-		for _, s := range env.sidecars {
-			for _, a := range s.agents {
-				a.setResponseDelay(0)
-			}
-		}
-	}},
-	{"drain", func(env *environment, rng *rand.Rand) {
-		n := env.nodes[rng.IntN(len(env.nodes))]
-		env.setHealth(n, "draining")
-		env.sleep(4 * time.Second)
-		env.setHealth(n, "up")
-	}},
-	{"cold restart", func(env *environment, rng *rand.Rand) {
-		n := env.nodes[rng.IntN(len(env.nodes))]
-		n.restart()
-		env.setHealth(n, "up")
-		env.sleep(2 * time.Second)
-	}},
-	{"replaced", func(env *environment, rng *rand.Rand) {
-		n := env.nodes[rng.IntN(len(env.nodes))]
-		env.setHealth(n, "removed")
-		env.sleep(3 * time.Second)
-		n.restart()
-		env.setHealth(n, "up")
-	}},
-	{"bad nodes", func(env *environment, rng *rand.Rand) {
-		var faulty []*node
-		for range 1 + rng.IntN(1+len(env.nodes)/3) {
-			n := env.nodes[rng.IntN(len(env.nodes))]
-			n.setBehaviour(nodeBehaviour(1 + rng.IntN(int(nodeBehaviourCount)-1)))
-			faulty = append(faulty, n)
-		}
-		env.sleep(time.Duration(2+rng.IntN(4)) * time.Second)
-		for _, n := range faulty {
-			n.setBehaviour(healthy)
-		}
-	}},
-	{"bad nodes", func(env *environment, rng *rand.Rand) {
-		n := env.nodes[rng.IntN(len(env.nodes))]
-		n.setBehaviour(nodeBehaviour(1 + rng.IntN(int(nodeBehaviourCount)-1)))
-		env.sleep(time.Duration(1+rng.IntN(4)) * time.Second)
-		n.setBehaviour(healthy)
-	}},
-}
-
 // reportError reports an error of the soak itself, such as a process that cannot be started, as a violation.
 func (env *environment) reportError(err error) {
 	if err != nil {
