Soak: requests on connections that waited for a node that accepts late are judged as such

Cause: the node had accepted late until then (bad nodes at 24.05 s, 3 s long). The connection and its request, written in time, waited in the node's accept queue and were accepted right after the node had become healthy, when the checker allowed for no wait.

Change: the time in the queue is allowed for connections that are accepted up to 3 s after a node stopped accepting late, in which the kernel repeats handshakes too. For all others the check is as before. A test for it.

--- a/internal/front/frontend/memory.go
+++ b/internal/front/frontend/memory.go
@@ -28,8 +28,8 @@
 	return &RequestMemory{budget: semaphore.NewWeighted(bytes)}
 }
 
-// MemoryAccount is the memory of the requests on one connection. Its methods may be called concurrently, except that only
-// one goroutine may call Add. A nil MemoryAccount has no bound.
+// MemoryAccount is the memory of the requests on one connection. Its methods may be called concurrently, except that at most
+// one goroutine at a time may wait in Add. A nil MemoryAccount has no bound.
 type MemoryAccount struct {
 	memory *RequestMemory
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -71,6 +71,7 @@
 
 	mu        sync.Mutex
 	behaviour nodeBehaviour
+	lateUntil time.Time // when the node last stopped accepting late; zero: never
 	startedAt time.Time // last restart; zero: the node has not restarted and is warm
 	health    string
 	arrivals  []arrival // since startedAt, while the node is cold
@@ -123,7 +124,7 @@
 		if n.behaviour == acceptsLate {
 			maxDelay = maxAcceptDelay
 		}
-		pause := time.Duration(n.rng.Int64N(int64(max(maxDelay, 1))))
+		pause := time.Duration(n.rng.Int64N(int64(max(maxDelay, 1)))) // drawn in any case, so that a seed stays what it is
 		n.mu.Unlock()
 		time.Sleep(pause)
 		c, err := n.ln.Accept()
@@ -132,9 +133,10 @@
 		}
 		n.mu.Lock()
 		n.conns[c] = struct{}{}
+		queueTime := n.maxQueueTimeLocked(time.Now())
 		n.mu.Unlock()
 		go func() {
-			n.serve(c, (acceptBacklog+1)*maxDelay)
+			n.serve(c, queueTime)
 			c.Close()
 			n.mu.Lock()
 			delete(n.conns, c)
@@ -143,11 +145,33 @@
 	}
 }
 
+// lateConnectionSpan is how long after a node has stopped accepting late a connection may still come up whose handshake began
+// before: the kernel repeats the last packet but one after 1 s and 2 s.
+const lateConnectionSpan = 3 * time.Second
+
+// maxQueueTimeLocked returns how long a connection that is accepted at now, and the first request on it, may have waited to be
+// accepted. The caller holds n.mu.
+func (n *node) maxQueueTimeLocked(now time.Time) time.Duration {
+	if n.behaviour == acceptsLate || now.Sub(n.lateUntil) < lateConnectionSpan {
+		return (acceptBacklog + 1) * maxAcceptDelay
+	}
+	return 0
+}
+
+// setBehaviourLocked sets the behaviour. The caller holds n.mu.
+func (n *node) setBehaviourLocked(b nodeBehaviour) {
+	if n.behaviour == acceptsLate {
+		n.lateUntil = time.Now()
+	}
+	n.behaviour = b
+}
+
 // restart resets all connections and makes the node cold and healthy.
 func (n *node) restart() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.startedAt, n.arrivals, n.behaviour = time.Now(), nil, healthy
+	n.startedAt, n.arrivals = time.Now(), nil
+	n.setBehaviourLocked(healthy)
 	for c := range n.conns {
 		c.(*net.TCPConn).SetLinger(0)
 		c.Close()
@@ -156,7 +180,7 @@
 
 func (n *node) setBehaviour(b nodeBehaviour) {
 	n.mu.Lock()
-	n.behaviour = b
+	n.setBehaviourLocked(b)
 	n.mu.Unlock()
 }
 
--- a/internal/soak/overlap_test.go
+++ b/internal/soak/overlap_test.go
@@ -26,3 +26,24 @@
 		}
 	}
 }
+
+// Guards against violations that are none: a connection that waited while its node accepted late is often accepted when the node
+// does so no longer, and the request on it was written long before.
+func TestConnectionsWaitForALateNode(t *testing.T) {
+	n := new(node)
+	check := func(what string, at time.Time, want time.Duration) {
+		if got := n.maxQueueTimeLocked(at); got != want {
+			t.Errorf("%s: got %v, want %v", what, got, want)
+		}
+	}
+	const late = (acceptBacklog + 1) * maxAcceptDelay
+	check("healthy", time.Now(), 0)
+	n.setBehaviour(hangs)
+	n.setBehaviour(healthy)
+	check("after another behaviour", time.Now(), 0)
+	n.setBehaviour(acceptsLate)
+	check("accepts late", time.Now(), late)
+	n.setBehaviour(healthy)
+	check("right after it", time.Now(), late)
+	check("later", time.Now().Add(lateConnectionSpan), 0)
+}
