Soak: split the check of arrivals, and count in a window only what arrived in it

In the old form a request that had waited moved the window into the past and counted everything that arrived after it, so a window could hold more than came in it; countArrivals leaves those out. With a test; no violation was traced to it.

--- a/internal/front/frontend/memory_test.go
+++ b/internal/front/frontend/memory_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Guards against small requests that wait behind large ones, and against charges that are lost or taken back twice.
+// Guards against small requests that wait for large ones, and against charges that are lost or taken back twice.
 func TestMemoryAccounts(t *testing.T) {
 	const size = 10 << 10
 	memory := NewRequestMemory(size)
--- a/internal/front/httpfront/memory_test.go
+++ b/internal/front/httpfront/memory_test.go
@@ -75,8 +75,8 @@
 	expectStatus(t, "after", sendText(t, address, requestText("after", sized, body)), http.StatusOK)
 }
 
-// Guards against memory that is not given back, and against bytes behind a request that are read without bound: each connection
-// sends large requests one behind the other, more than the memory holds.
+// Guards against memory that is not given back, and against bytes after a request that are read without bound: each connection
+// sends large requests one after the other, more than the memory holds.
 func TestMemoryIsGivenBack(t *testing.T) {
 	config := testConfig
 	config.Memory = frontend.NewRequestMemory(80 << 10)
--- a/internal/hopbyhop/hopbyhop.go
+++ b/internal/hopbyhop/hopbyhop.go
@@ -23,7 +23,7 @@
 	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// fieldsSetByEachHop are the fields that the sender of each hop sets itself, or that tell the sidecar about
+// fieldsSetByEachHop are the fields that the sender of each hop sets itself, or that inform the sidecar about
 // an upstream, by canonical name.
 var fieldsSetByEachHop = [...]string{"Content-Length", "Host", "Not-Started", "Request-Timeout", "Server-Load"}
 
--- a/internal/soak/arrivals.go
+++ b/internal/soak/arrivals.go
@@ -75,19 +75,21 @@
 	if _, err := fmt.Sscanf(id, "%d-", &number); err != nil || number >= len(env.sidecars) {
 		return
 	}
-	s, now := env.sidecars[number], time.Now().Add(-delay)
-	key := fmt.Sprint(n.name, "/", number)
+	now := time.Now().Add(-delay)
+	env.checkDrain(n, id, number, now)
+	env.checkWarmUp(n, number, now)
+}
+
+// checkDrain checks the invariant Drain for a request that a sidecar sent to a node at now.
+func (env *environment) checkDrain(n *node, id string, number int, now time.Time) {
 	env.mu.Lock()
-	drainKnownAt, draining := env.drainKnownAt[key]
-	startKnownAt := env.startKnownAt[key]
+	drainKnownAt, draining := env.drainKnownAt[fmt.Sprint(n.name, "/", number)]
 	env.mu.Unlock()
-	// A sidecar with pushed lists does not detect a slow agent, so silentWatchTimeout is added.
-	if s.agent().delayedSince(drainKnownAt.Add(-settleTime)) {
-		drainKnownAt = drainKnownAt.Add(silentWatchTimeout)
-	}
-	if s.agent().delayedSince(startKnownAt.Add(-settleTime)) {
-		startKnownAt = startKnownAt.Add(silentWatchTimeout)
+	if !draining {
+		return
 	}
+	s := env.sidecars[number]
+	drainKnownAt = s.receivedAt(drainKnownAt)
 	s.mu.Lock()
 	stalledUntil, processStartedAt := s.stalledUntil, s.startedAt
 	s.mu.Unlock()
@@ -98,9 +100,24 @@
 	if stalledUntil.After(drainKnownAt) {
 		drainKnownAt = stalledUntil
 	}
-	if late := now.Sub(drainKnownAt); draining && late > drainGrace+stallSlack+env.checker.lag.slack() {
+	if late := now.Sub(drainKnownAt); late > drainGrace+stallSlack+env.checker.lag.slack() {
 		env.checker.addViolation(Drain, "%s was sent to %s %v after the sidecar had received the drain", id, n.name, late)
 	}
+}
+
+// receivedAt returns when the sidecar counts as having received a change that counts as received at knownAt. A sidecar with
+// pushed lists does not detect a slow agent, so silentWatchTimeout is added.
+func (s *sidecar) receivedAt(knownAt time.Time) time.Time {
+	if s.agent().delayedSince(knownAt.Add(-settleTime)) {
+		return knownAt.Add(silentWatchTimeout)
+	}
+	return knownAt
+}
+
+// checkWarmUp records a request that a sidecar sent to a node at now, and checks the invariant WarmUpOverload for the window
+// that ends at now.
+func (env *environment) checkWarmUp(n *node, number int, now time.Time) {
+	startKnownAt := env.sidecars[number].receivedAt(env.startKnown(n.name, number))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	age := now.Sub(n.startedAt)
@@ -108,21 +125,10 @@
 		return
 	}
 	n.arrivals = append(n.arrivals, arrival{now, number, !startKnownAt.After(now)})
-	inWindow, withStartKnown := 0, 0
-	for _, a := range n.arrivals {
-		if now.Sub(a.at) <= slowStartOverloadWindow {
-			inWindow++
-			if a.startKnown {
-				withStartKnown++
-			}
-		}
-	}
-	capacity := fleetQuota / float64(env.cfg.Nodes) * (slowStartInitialShare +
-		(1-slowStartInitialShare)*max(0, age-slowStartOverloadWindow).Seconds()/slowStartDuration.Seconds())
+	inWindow, withStartKnown := countArrivals(n.arrivals, now)
+	limit := warmUpLimit(env.cfg.Nodes, age)
 	// The budget applies if more than two thirds of the requests come from sidecars that have received the start.
-	if limit := requestBudget(
-		slowStartOverloadFactor * capacity * slowStartOverloadWindow.Seconds(),
-	); float64(inWindow) > limit && 3*withStartKnown > 2*inWindow {
+	if float64(inWindow) > limit && 3*withStartKnown > 2*inWindow {
 		knownAt := func(sidecar int) time.Time { return env.startKnown(n.name, sidecar) }
 		env.checker.addViolation(WarmUpOverload, "%s, started %v ago, got %d requests within %v, want at most %.0f; "+
 			"by sidecar, with the time for which it has known the start: %s", n.name, age, inWindow, slowStartOverloadWindow, limit,
@@ -130,6 +136,29 @@
 	}
 }
 
+// countArrivals returns how many arrivals lie in the window that ends at now, and how many of them come from sidecars that had
+// received the start. Arrivals after now are not counted: now lies in the past for a request that has waited.
+func countArrivals(arrivals []arrival, now time.Time) (inWindow, withStartKnown int) {
+	for _, a := range arrivals {
+		if a.at.After(now) || now.Sub(a.at) > slowStartOverloadWindow {
+			continue
+		}
+		inWindow++
+		if a.startKnown {
+			withStartKnown++
+		}
+	}
+	return inWindow, withStartKnown
+}
+
+// warmUpLimit returns how many requests a node that started age ago may get within slowStartOverloadWindow, of a given number of
+// nodes.
+func warmUpLimit(nodes int, age time.Duration) float64 {
+	sinceWindowStart := max(0, age-slowStartOverloadWindow).Seconds() / slowStartDuration.Seconds()
+	capacity := fleetQuota / float64(nodes) * (slowStartInitialShare + (1-slowStartInitialShare)*sinceWindowStart)
+	return requestBudget(slowStartOverloadFactor * capacity * slowStartOverloadWindow.Seconds())
+}
+
 // startKnown returns when a sidecar counts as having received a node's last start.
 func (env *environment) startKnown(nodeName string, sidecar int) time.Time {
 	env.mu.Lock()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -48,7 +48,7 @@
 func describeArrivals(arrivals []arrival, since, now time.Time, knownAt func(sidecar int) time.Time) string {
 	counts := make(map[int]int)
 	for _, a := range arrivals {
-		if !a.at.Before(since) {
+		if !a.at.Before(since) && !a.at.After(now) {
 			counts[a.sidecar]++
 		}
 	}
--- a/internal/soak/overlap_test.go
+++ b/internal/soak/overlap_test.go
@@ -47,3 +47,15 @@
 	check("right after it", time.Now(), late)
 	check("later", time.Now().Add(lateConnectionSpan), 0)
 }
+
+// Guards against requests that are counted in a window that ended before they arrived.
+func TestArrivalsInTheWindow(t *testing.T) {
+	now := time.Now()
+	var arrivals []arrival
+	for offset := -3 * time.Second; offset <= 3*time.Second; offset += 500 * time.Millisecond {
+		arrivals = append(arrivals, arrival{at: now.Add(offset), startKnown: offset == 0})
+	}
+	if inWindow, known := countArrivals(arrivals, now); inWindow != 3 || known != 1 {
+		t.Errorf("got %d arrivals in the window, %d with the start known; want 3 and 1", inWindow, known)
+	}
+}
