Soak: a repeat is judged from when the node read the first attempt

Cause: recordAttempt kept the earliest time at which an attempt can have been sent, which is the safe side for its own deadline and drain, and the wrong side for the repeat after it.

Change: an attempt keeps when the node read it.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -63,8 +63,8 @@
 
 // attempt is one complete arrival of a request at a node.
 type attempt struct {
-	at       time.Time
-	executed bool // the node executes the request's effect
+	readAt   time.Time // when the node read it; it may have been sent earlier
+	executed bool      // the node executes the request's effect
 	node     string
 }
 
@@ -127,7 +127,8 @@
 func (c *checker) recordAttempt(
 	nodeName, id string, timeout time.Duration, executed bool, delay time.Duration, circumstances string,
 ) {
-	now := time.Now().Add(-delay)
+	readAt := time.Now()
+	now := readAt.Add(-delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.records[id]
@@ -148,12 +149,12 @@
 		case !earlier.executed || r.class.idempotency == idempotent:
 		case r.class.idempotency == notIdempotent:
 			c.addViolationLocked(Duplicate, "%s was executed by %s and by %s", id, earlier.node, nodeName)
-		case now.Sub(earlier.at) > r.class.dedupWindow+stallSlack+c.lag.slack():
+		case now.Sub(earlier.readAt) > r.class.dedupWindow+stallSlack+c.lag.slack():
 			c.addViolationLocked(Duplicate, "%s was executed again by %s %v after the first execution by %s; %s",
-				id, nodeName, now.Sub(earlier.at), earlier.node, circumstances)
+				id, nodeName, now.Sub(earlier.readAt), earlier.node, circumstances)
 		}
 	}
-	r.attempts = append(r.attempts, attempt{now, executed, nodeName})
+	r.attempts = append(r.attempts, attempt{readAt, executed, nodeName})
 }
 
 // recordResponse records a request's final response. late is how long after the deadline the response came,
--- a/internal/soak/overlap_test.go
+++ b/internal/soak/overlap_test.go
@@ -59,3 +59,15 @@
 		t.Errorf("got %d arrivals in the window, %d with the start known; want 3 and 1", inWindow, known)
 	}
 }
+
+// Guards against a repeat that is held to be too late because its first attempt is taken to have run as early as it can have
+// been sent. A node runs a request when it reads it.
+func TestWaitingAttemptIsNoEarlierExecution(t *testing.T) {
+	c := newChecker(time.Now())
+	c.recordRequest("0-0-1", classes[1], time.Now().Add(time.Second))
+	c.recordAttempt("a", "0-0-1", 0, true, 3*time.Second, "")
+	c.recordAttempt("b", "0-0-1", 0, true, 0, "")
+	for _, violation := range c.violations {
+		t.Error(violation)
+	}
+}
