--- a/cmd/sidecar/memory_test.go
+++ b/cmd/sidecar/memory_test.go
@@ -2,140 +2,103 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
-)
 
-const (
-	// unfinishedClients is a third of the descriptors that the platform allows at most, which clients may hold.
-	unfinishedClients = 340
-	// silentClients are further clients, which only connect. With the others they stay below the program's bound.
-	silentClients = 200
-	// unfinishedFor is how long the clients go on. It covers two read timeouts of a request.
-	unfinishedFor = 6 * time.Second
+	"mothridge/internal/peers"
 )
 
-// unfinishedRequest returns requests that are never complete.
-var unfinishedRequests = map[string]func(id string) string{
-	"silent":      func(string) string { return "" },
-	"half a line": func(string) string { return "POST /api HT" },
-	"head":        func(id string) string { return requestHead(id) + "Note: " + strings.Repeat("n", 15<<10) },
-	"many fields": func(id string) string { return requestHead(id) + strings.Repeat("A: b\r\n", 2000) },
-	"body": func(id string) string {
-		return requestHead(id) + "Content-Length: 65536\r\n\r\n" + strings.Repeat("b", 65000)
-	},
-	"head and body": func(id string) string {
-		return requestHead(id) + "Note: " + strings.Repeat("n", 15<<10) + "\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("b", 65000)
-	},
-	"start of a body": func(id string) string {
-		return requestHead(id) + "Content-Length: 65536\r\n\r\n" + strings.Repeat("b", 9000)
-	},
-	"chunks": func(id string) string {
-		return requestHead(id) + "Transfer-Encoding: chunked\r\n\r\nffff\r\n" + strings.Repeat("b", 65000)
-	},
-}
-
-func requestHead(id string) string {
-	return "POST /api HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Class: a\r\nRequest-Timeout: 1\r\n"
-}
-
-// Guards against requests that are never complete and together take the program over its memory limit, at which the
-// platform kills it. Other clients' requests must be answered meanwhile.
-func TestUnfinishedRequestsStayWithinTheMemoryLimit(t *testing.T) {
-	program := buildProgram(t)
-	for name, request := range unfinishedRequests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			testUnfinishedRequests(t, program, request)
+// BenchmarkResident starts the program with a registry of 0 to 10,000 instances and reports its
+// resident memory after it has read all of them.
+func BenchmarkResident(b *testing.B) {
+	for _, instances := range []int{0, 100, 1000, 10000} {
+		b.Run(fmt.Sprint("nodes=", instances), func(b *testing.B) {
+			for range b.N {
+				resident, peak := residentMemory(b, instances)
+				b.ReportMetric(float64(resident), "rss-kB")
+				b.ReportMetric(float64(peak), "peak-kB")
+			}
 		})
 	}
 }
 
-// buildProgram builds the program without the instrumentation of the tests, which would need memory, and returns its path.
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "sidecar")
-	if output, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
+// residentMemory starts the program with a registry of the given number of instances, and returns its
+// resident memory and its peak, in kB.
+func residentMemory(b *testing.B, instances int) (resident, peak int) {
+	b.Helper()
+	registry, err := peers.StartEureka("")
+	if err != nil {
+		b.Fatal(err)
 	}
-	return path
-}
-
-func testUnfinishedRequests(t *testing.T, program string, request func(id string) string) {
-	const memoryMB = 32
-	address := freeAddresses(t, 1)[0]
-	config := platformConfig{listen: address, endpoint: "127.0.0.1:1", memoryMB: memoryMB, sockets: 1024, semantics: "single_shot"}
-	command := exec.Command(program)
-	command.Env = append(os.Environ(), "ROUTER_CONFIG="+config.write(t))
-	startProgram(t, command)
-	awaitService(t, address)
-	for range silentClients {
-		conn, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
+	defer registry.Close()
+	registerMany(registry, instances)
+	socket := filepath.Join(b.TempDir(), "admin")
+	settings := "[admin]\nsocket = \"" + socket + "\"\n"
+	if instances > 0 {
+		settings += "[membership]\nplatform = false\n[[eureka]]\nname = \"records\"\nreplicas = [\"" + registry.URL() +
+			"\"]\ninterval = \"1s\"\ntimeout = \"20s\"\n"
 	}
-	var done atomic.Bool
-	var clients sync.WaitGroup
-	for i := range unfinishedClients {
-		clients.Go(func() {
-			for try := 0; !done.Load(); try++ {
-				sendUnfinished(address, request(fmt.Sprint(i, "-", try)))
-			}
-		})
+	operatorFile := writeFile(b, "mothridge.toml", settings)
+	config := platformConfig{listen: freeAddresses(b, 1)[0], memoryMB: 32}.write(b)
+	command := exec.Command(buildProgram(b), "run", "--operator", operatorFile)
+	command.Env = append(os.Environ(), "ROUTER_CONFIG="+config)
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
 	}
-	clients.Go(func() {
-		for !done.Load() {
-			if _, err := postRequest(address); err != nil {
-				t.Errorf("another client's request: got error %v, want a response", err)
-			}
-			time.Sleep(50 * time.Millisecond)
+	defer killProgram(command)
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		view, err := fetchMembers(b.Context(), socket)
+		if err == nil && len(view.Members) == instances ||
+			instances == 0 && err != nil && strings.Contains(err.Error(), "not turned on") {
+			break
 		}
-	})
-	peak := 0
-	for end := time.Now().Add(unfinishedFor); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		peak = max(peak, residentKiB(t, command.Process.Pid))
 	}
-	done.Store(true)
-	clients.Wait()
-	t.Logf("at most %d KiB of resident memory", peak)
-	if peak > memoryMB<<10 {
-		t.Errorf("got %d KiB of resident memory, want at most the limit of %d KiB", peak, memoryMB<<10)
+	time.Sleep(2500 * time.Millisecond) // time for some polls, after which the memory used to read the list is released
+	return readMemory(b, command.Process.Pid)
+}
+
+// registerMany registers the given number of instances, each with an address of its own.
+func registerMany(registry *peers.EurekaRegistry, instances int) {
+	for i := range instances {
+		registry.Register(peers.EurekaInstance{
+			ID: fmt.Sprint("records-", i), App: "RECORDS", Host: "127.0.0.1",
+			IP: fmt.Sprintf("127.1.%d.%d", i>>8, i&255), Port: 80, Status: "UP",
+			Metadata: map[string]string{"zone": "a", "weight": "1"},
+		})
 	}
 }
 
-// sendUnfinished sends a request that is not complete, and waits until the program responds or closes the connection.
-func sendUnfinished(address, text string) {
-	conn, err := net.Dial("tcp", address)
-	if err != nil {
-		time.Sleep(10 * time.Millisecond)
-		return
+// buildProgram builds the program as deploy/balancer.toml does, and returns its path.
+func buildProgram(b testing.TB) string {
+	b.Helper()
+	path := filepath.Join(b.TempDir(), "mothridge")
+	build := exec.Command("go", "build", "-o", path, ".")
+	build.Env = append(os.Environ(), "CGO_ENABLED=0")
+	if output, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, output)
 	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(4 * time.Second))
-	io.WriteString(conn, text)
-	conn.Read(make([]byte, 64))
+	return path
 }
 
-// residentKiB returns the resident memory of a process.
-func residentKiB(t *testing.T, pid int) int {
-	t.Helper()
+// readMemory returns the resident memory of a process and its peak, in kB.
+func readMemory(b testing.TB, pid int) (resident, peak int) {
+	b.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
 	}
-	resident := 0
-	for line := range strings.SplitSeq(string(text), "\n") {
-		fmt.Sscanf(line, "VmRSS: %d kB", &resident)
+	read := func(name string) int {
+		_, after, _ := strings.Cut(string(text), name+":")
+		kB, err := strconv.Atoi(strings.Fields(after)[0])
+		if err != nil {
+			b.Fatal(err)
+		}
+		return kB
 	}
-	return resident
+	return read("VmRSS"), read("VmHWM")
 }
