Refuse a MessagePack-RPC message without memory instead of ending its connection

What callers would have seen: since a message that found no memory ended its connection, and the requests in flight on it lost their responses, though they had been accepted.

Cause: the memory was charged in the connection's Read, which can only fail the stream. The framer owns the buffer and knows where the message ends.

Change: msgrpc.Framer asks Reserve before its buffer grows; without memory it keeps the first 64 bytes, scans to the end of the message and returns ErrDiscarded. rpcfront refuses the request by its msgid and reads on. The charge is the buffer's size, which the bytes read only approximated. httpfront counts requests without memory in one place.

Evidence: TestMessageWithoutMemoryLeavesItsConnectionOpen failed before (protocol_error in place of refused) and passes. TestFramerDiscardsMessagesWithoutMemory: other messages are unchanged however the bytes are split. TestCallsWithoutMemoryAreRefused: the message that was cut off there is whole now and refused, and counted as before; the one that is cut off still ends with protocol_error.

--- a/internal/front/frontend/memory.go
+++ b/internal/front/frontend/memory.go
@@ -8,6 +8,9 @@
 	"golang.org/x/sync/semaphore"
 )
 
+// OutOfMemoryText informs a client that its request has found no memory.
+const OutOfMemoryText = "too many large requests at once"
+
 const (
 	// freeBytesPerConnection is the memory of each connection's requests that is not charged, so that small
 	// requests never wait for memory. It is part of the memory that every connection costs.
--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -33,10 +33,10 @@
 // nevertheless, a request that is not idempotent could run twice.
 type clientConn struct {
 	*net.TCPConn
-	framing       http1.Framing
-	onClosed      func(*clientConn) // called once, after the connection was closed
-	memory        *frontend.MemoryAccount
-	onOutOfMemory func() // called when a head is rejected for want of memory
+	framing     http1.Framing
+	onClosed    func(*clientConn) // called once, after the connection was closed
+	memory      *frontend.MemoryAccount
+	outOfMemory *atomic.Uint64 // counts the listener's requests without memory
 
 	acceptedAt        time.Time
 	earliestArrival   func(now time.Time) time.Time // see Config.EarliestArrival; may be nil
--- a/internal/front/httpfront/counters.go
+++ b/internal/front/httpfront/counters.go
@@ -30,7 +30,7 @@
 		Connections:      listener.accepted.Load(),
 		Submitted:        front.submitted.Load(),
 		InvalidRequests:  front.invalidRequests.Load(),
-		OutOfMemory:      front.outOfMemory.Load() + listener.outOfMemory.Load(),
+		OutOfMemory:      listener.outOfMemory.Load(),
 		Disconnects:      front.disconnects.Load(),
 		AcceptFailures:   listener.Failures(),
 		ClosedByServer:   listener.closesByReason[closedByServer].Load(),
--- a/internal/front/httpfront/front.go
+++ b/internal/front/httpfront/front.go
@@ -63,7 +63,7 @@
 	listener *limitedListener
 	server   *http.Server
 
-	submitted, invalidRequests, outOfMemory, disconnects, closedUnanswered atomic.Uint64
+	submitted, invalidRequests, disconnects, closedUnanswered atomic.Uint64
 }
 
 // New returns a Front for a listener. Serve starts the Front, and Shutdown closes the listener.
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -26,7 +26,7 @@
 	maxConnections  int
 	earliestArrival func(now time.Time) time.Time // see Config.EarliestArrival
 	memory          *frontend.RequestMemory       // see Config.Memory
-	outOfMemory     atomic.Uint64                 // requests whose heads were rejected for want of memory
+	outOfMemory     atomic.Uint64                 // requests that were rejected because memory was exhausted
 	accepted        atomic.Uint64
 	closesByReason  [closeReasonCount]atomic.Uint64
 
@@ -76,7 +76,7 @@
 		onClosed:        listener.onClosed,
 		earliestArrival: listener.earliestArrival,
 		memory:          listener.memory.NewAccount(),
-		onOutOfMemory:   func() { listener.outOfMemory.Add(1) },
+		outOfMemory:     &listener.outOfMemory,
 	}
 }
 
--- a/internal/front/httpfront/memory.go
+++ b/internal/front/httpfront/memory.go
@@ -40,7 +40,7 @@
 	if conn.isClosed() { // the wait ended because the connection was closed
 		return os.ErrDeadlineExceeded
 	}
-	conn.onOutOfMemory()
+	conn.outOfMemory.Add(1)
 	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", errOutOfMemory.status,
 		http.StatusText(errOutOfMemory.status), http1.FormatSeconds(outOfMemoryRetryAfter))
 	_ = conn.SetWriteDeadline(time.Now().Add(rejectHeadTimeout))
--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -31,7 +31,7 @@
 }
 
 // errOutOfMemory rejects a request whose body finds no memory; a retry is harmless. It is immutable.
-var errOutOfMemory = &requestError{http.StatusServiceUnavailable, "too many large requests at once"}
+var errOutOfMemory = &requestError{http.StatusServiceUnavailable, frontend.OutOfMemoryText}
 
 // Error returns the body of the response without its line break.
 func (err *requestError) Error() string { return http.StatusText(err.status) + ": " + err.detail }
--- a/internal/front/httpfront/write_response.go
+++ b/internal/front/httpfront/write_response.go
@@ -26,15 +26,15 @@
 	core.Duplicate: http.StatusConflict,
 }
 
-// rejectInvalid responds to an invalid request, or one for which there is no memory, with an error and closes the connection, because the bytes
-// that follow may be the body of the invalid request. The body is not read before the response is
+// rejectInvalid responds to an invalid request, or one for which there is no memory, with an error and closes the
+// connection, because the bytes that follow may be the body of that request. The body is not read before the response is
 // written, because the body may have any size or never arrive. Part of the body is read afterwards:
 // a close with unread bytes would reset the connection, and the client could lose the response.
 func (front *Front) rejectInvalid(writer http.ResponseWriter, httpRequest *http.Request, err *requestError) {
 	text := err.Error() + "\n"
 	header := writer.Header()
 	if errors.Is(err, errOutOfMemory) {
-		front.outOfMemory.Add(1)
+		front.listener.outOfMemory.Add(1)
 		header.Set("Retry-After", http1.FormatSeconds(outOfMemoryRetryAfter))
 	} else {
 		front.invalidRequests.Add(1)
--- a/internal/front/rpcfront/connection.go
+++ b/internal/front/rpcfront/connection.go
@@ -38,9 +38,8 @@
 	memory *frontend.MemoryAccount
 
 	// Used only by the reader.
-	malformed           int       // number of messages that could not be handled
-	chargedMessageBytes int64     // charged to memory for the message that is being read
-	messageStartedAt    time.Time // when the first bytes of that message were read
+	malformed          int   // number of messages that could not be handled
+	chargedBufferBytes int64 // charged to memory for the buffer of the messages that are being read
 
 	mu             sync.Mutex
 	state          connState
--- a/internal/front/rpcfront/handle_message.go
+++ b/internal/front/rpcfront/handle_message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mothridge/internal/core"
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/msgrpc"
 )
 
@@ -58,18 +59,8 @@
 // the connection must be closed.
 func (conn *clientConn) handleCall(message *msgrpc.Message, arrival time.Time) bool {
 	front, id := conn.front, message.ID
-	switch conn.checkLimits(id) {
-	case duplicateID: // a response could not be assigned to one of the two requests
-		front.duplicateIDs.Add(1)
-		return conn.notifyProtocolError("ignored a request: its msgid is already in flight")
-	case queueFull:
-		front.stalled.Add(1)
-		return false
-	case limitExceeded:
-		front.limitExceeded.Add(1)
-		conn.refuse(id, "too many requests in flight or unread responses on this connection")
-		return true
-	case withinLimits:
+	if proceed, open := conn.enforceLimits(id); !proceed {
+		return open
 	}
 	request, fault := front.readRequest(message.Params, arrival)
 	if fault != nil {
@@ -78,8 +69,7 @@
 	}
 	open := openRequest{Request: request, chargedBytes: memoryOf(request)}
 	if !conn.memory.Add(open.chargedBytes, 0) {
-		front.outOfMemory.Add(1)
-		conn.refuse(id, "too many large requests at once")
+		conn.refuseWithoutMemory(id)
 		return true
 	}
 	request.Respond = func(result core.Response) { conn.respond(id, request, result) }
@@ -92,6 +82,46 @@
 	return true
 }
 
+// handleDiscarded handles a message that found no memory, of which frame contains the first bytes. If it returns false, the
+// connection must be closed.
+func (conn *clientConn) handleDiscarded(frame []byte) bool {
+	id, isRequest := msgrpc.ParseRequestID(frame)
+	if !isRequest {
+		return conn.onMalformed(msgrpc.ErrDiscarded.Error())
+	}
+	proceed, open := conn.enforceLimits(id)
+	if proceed {
+		conn.refuseWithoutMemory(id)
+	}
+	return open
+}
+
+// enforceLimits responds to a request for which checkLimits finds that a limit is reached; it then returns false for proceed. If
+// open is false, the connection must be closed.
+func (conn *clientConn) enforceLimits(id uint32) (proceed, open bool) {
+	front := conn.front
+	switch conn.checkLimits(id) {
+	case duplicateID: // a response could not be assigned to one of the two requests
+		front.duplicateIDs.Add(1)
+		return false, conn.notifyProtocolError("ignored a request: its msgid is already in flight")
+	case queueFull:
+		front.stalled.Add(1)
+		return false, false
+	case limitExceeded:
+		front.limitExceeded.Add(1)
+		conn.refuse(id, "too many requests in flight or unread responses on this connection")
+		return false, true
+	default: // withinLimits
+		return true, true
+	}
+}
+
+// refuseWithoutMemory responds to a request for which there is no memory.
+func (conn *clientConn) refuseWithoutMemory(id uint32) {
+	conn.front.outOfMemory.Add(1)
+	conn.refuse(id, frontend.OutOfMemoryText)
+}
+
 // refuse responds to a call that was not submitted. A retry is harmless.
 func (conn *clientConn) refuse(id uint32, text string) {
 	conn.queueFault(id, &msgrpc.Fault{Kind: msgrpc.KindRefused, RetryAfter: limitExceededRetryAfter, Text: text})
--- a/internal/front/rpcfront/memory.go
+++ b/internal/front/rpcfront/memory.go
@@ -1,45 +1,29 @@
 package rpcfront
 
 import (
-	"errors"
 	"time"
 
 	"mothridge/internal/core"
 	"mothridge/internal/front/frontend"
 )
 
-// errOutOfMemory reports that there is no memory for a message that is being read.
-var errOutOfMemory = errors.New("no memory for the message: too many large requests at once")
+// bufferWaitTimeout is the longest time for which a message waits for each growth of its buffer. With the four growths up to
+// the largest message, a message still ends within 3 s of its first byte.
+const bufferWaitTimeout = 100 * time.Millisecond
 
-// messageBufferFactor is the memory of a message that is being read for each of its bytes: the buffer that grows, and the
-// one that it replaces.
-const messageBufferFactor = 2
-
-// chargeMessage charges the memory of further bytes of a message. It blocks for at most frontend.MemoryWaitTimeout, but not
-// beyond the read timeout of the message, and returns false if there is no memory.
-func (conn *clientConn) chargeMessage(count int) bool {
-	now := time.Now()
-	if conn.chargedMessageBytes == 0 {
-		conn.messageStartedAt = now
-	}
-	timeout := min(frontend.MemoryWaitTimeout, conn.messageStartedAt.Add(frontend.RequestReadTimeout).Sub(now))
-	bytes := int64(count) * messageBufferFactor
-	if !conn.memory.Add(bytes, timeout) {
+// chargeBuffer charges the memory of the buffer of the messages that are being read, when its size changes: the buffer, and the
+// one of half the size that it replaces. It blocks for at most bufferWaitTimeout and returns false if there is no memory.
+func (conn *clientConn) chargeBuffer(size int) bool {
+	change := int64(size+size/2) - conn.chargedBufferBytes
+	if change < 0 {
+		conn.memory.Remove(-change)
+	} else if !conn.memory.Add(change, bufferWaitTimeout) {
 		return false
 	}
-	conn.chargedMessageBytes += bytes
+	conn.chargedBufferBytes += change
 	return true
 }
 
-// endMessage takes back the charge of a message that was handled. remaining is the number of bytes that were read after
-// it; they stay charged.
-func (conn *clientConn) endMessage(remaining int) {
-	bytes := max(0, conn.chargedMessageBytes-int64(remaining)*messageBufferFactor)
-	conn.memory.Remove(bytes)
-	conn.chargedMessageBytes -= bytes
-	conn.messageStartedAt = time.Now()
-}
-
 // memoryOf returns the memory that a request holds until its response, in bytes.
 func memoryOf(request *core.Request) int64 {
 	total := len(request.Body) + len(request.Target)
--- a/internal/front/rpcfront/memory_test.go
+++ b/internal/front/rpcfront/memory_test.go
@@ -40,6 +40,11 @@
 	if fault := client.expectFault(t, 8); fault.Kind != msgrpc.KindRefused || fault.RetryAfter == 0 {
 		t.Errorf("many fields: got error %+v, want refused with a pause", fault)
 	}
+	other := dial(t, front)
+	other.call(1, large)
+	if fault := other.expectFault(t, 1); fault.Kind != msgrpc.KindRefused {
+		t.Errorf("large request of another client: got error %+v, want refused", fault)
+	}
 	half := dial(t, front)
 	half.Write(callBytes(1, large)[:60<<10])
 	half.expectProtocolError(t)
@@ -57,3 +62,30 @@
 	client.call(9, manyFields)
 	peertest.Await(t, "the request with many fields, now that there is memory", handler.submitted)
 }
+
+// Guards against requests in flight that lose their responses because a later message on their connection finds no memory: that
+// message alone is refused, and the connection goes on.
+func TestMessageWithoutMemoryLeavesItsConnectionOpen(t *testing.T) {
+	handler := newChannelHandler()
+	front := startFront(t, Config{Memory: frontend.NewRequestMemory(16 << 10)}, handler)
+	client := dial(t, front)
+	client.call(1, nil)
+	first := peertest.Await(t, "the first request", handler.submitted)
+	for id := uint32(2); id < 5; id++ {
+		client.call(id, func(call *msgrpc.Call) { call.Body = make([]byte, 60<<10) })
+		if fault := client.expectFault(t, id); fault.Kind != msgrpc.KindRefused || fault.RetryAfter == 0 {
+			t.Errorf("large request %d: got error %+v, want refused with a pause", id, fault)
+		}
+	}
+	client.call(5, nil)
+	second := peertest.Await(t, "a small request after the large ones", handler.submitted)
+	for id, request := range map[uint32]*core.Request{1: first, 5: second} {
+		request.Respond(core.Response{Result: core.Served, Body: []byte("honey")})
+		if message := client.readMessage(t); message.ID != id || message.Fault != nil {
+			t.Errorf("got %+v, want the response to request %d", message, id)
+		}
+	}
+	if count := front.Counters().OutOfMemory; count != 3 {
+		t.Errorf("got %d requests without memory, want 3", count)
+	}
+}
--- a/internal/front/rpcfront/read_connection.go
+++ b/internal/front/rpcfront/read_connection.go
@@ -17,36 +17,36 @@
 // readLoop is the reader. It reads and handles messages until the connection ends.
 func (conn *clientConn) readLoop() {
 	defer conn.abandonRequests()
-	reader := recordedConn{conn.netConn, sockets.NewLockedReader(conn.netConn, &conn.mu, conn.onRead), conn}
+	reader := recordedConn{conn.netConn, sockets.NewLockedReader(conn.netConn, &conn.mu, conn.onRead)}
 	framer := msgrpc.NewFramer(reader, msgrpc.MaxRequestBytes, frontend.RequestReadTimeout)
+	framer.Reserve = conn.chargeBuffer
 	for {
 		frame, err := framer.Next()
-		if err != nil {
+		open := true
+		switch {
+		case errors.Is(err, msgrpc.ErrDiscarded):
+			open = conn.handleDiscarded(frame)
+		case err != nil:
 			conn.onReadError(err)
 			return
+		default:
+			open = conn.handleMessage(frame, conn.arrivalTime())
 		}
-		if !conn.handleMessage(frame, conn.arrivalTime()) {
+		if !open {
 			return
 		}
 		conn.onMessageHandled(framer.Buffered())
 	}
 }
 
-// recordedConn is a connection that is read through a LockedReader and charges the memory of what it reads.
+// recordedConn is a connection that is read through a LockedReader.
 type recordedConn struct {
 	net.Conn
-	reader     *sockets.LockedReader
-	clientConn *clientConn
+	reader *sockets.LockedReader
 }
 
-// Read implements net.Conn. The error is errOutOfMemory if there is no memory for the bytes that were read.
-func (conn recordedConn) Read(buffer []byte) (int, error) {
-	count, err := conn.reader.Read(buffer)
-	if !conn.clientConn.chargeMessage(count) {
-		return 0, errOutOfMemory
-	}
-	return count, err
-}
+// Read implements net.Conn.
+func (conn recordedConn) Read(buffer []byte) (int, error) { return conn.reader.Read(buffer) }
 
 // onRead records that bytes were read. It returns false if the connection is closed, and the bytes
 // are then dropped. The caller holds conn.mu.
@@ -64,7 +64,6 @@
 // onMessageHandled records that a message was handled. remaining is the number of bytes of the
 // following messages that were already read.
 func (conn *clientConn) onMessageHandled(remaining int) {
-	conn.endMessage(remaining)
 	conn.mu.Lock()
 	conn.messageStarted = remaining > 0
 	finished := conn.state == connFinishing && conn.isIdleLocked()
@@ -83,18 +82,14 @@
 	return now
 }
 
-// onReadError handles a failed read. If the message cannot be framed, was not complete in time or found no memory, it
-// counts the message and writes the reason to the client, which blocks for at most
+// onReadError handles a failed read. If the message cannot be framed or was not complete in time, it
+// counts the message as malformed and writes the reason to the client, which blocks for at most
 // protocolErrorTimeout. If the client closed the connection, it does nothing.
 func (conn *clientConn) onReadError(err error) {
-	switch {
-	case errors.Is(err, errOutOfMemory):
-		conn.front.outOfMemory.Add(1)
-	case isFramingError(err), errors.Is(err, os.ErrDeadlineExceeded):
-		conn.front.malformed.Add(1)
-	default:
+	if !isFramingError(err) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
+	conn.front.malformed.Add(1)
 	conn.netConn.SetWriteDeadline(time.Now().Add(protocolErrorTimeout))
 	// Write errors are ignored because the connection is closed in any case.
 	_, _ = conn.netConn.Write(msgrpc.AppendProtocolError(nil, err.Error()))
--- a/internal/msgrpc/framer_test.go
+++ b/internal/msgrpc/framer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -119,3 +120,48 @@
 		t.Errorf("got a buffer of %d bytes, want at most maxKeptBufferBytes", len(framer.buffer))
 	}
 }
+
+// Guards against a stream that is lost, or a message that is taken for another, when a message finds no memory: it is discarded, its
+// msgid can still be parsed, and all other messages are unchanged, no matter how the bytes are split into reads.
+func TestFramerDiscardsMessagesWithoutMemory(t *testing.T) {
+	var encoded []byte
+	var want []string
+	for i := range 40 {
+		call := exampleCall()
+		call.Body = bytes.Repeat([]byte{byte(i)}, i*1500)
+		encoded = AppendCancel(call.Append(encoded, uint32(i)), 3)
+		size := len(call.Append(nil, uint32(i)))
+		if size > 2*initialBufferBytes {
+			want = append(want, "discarded "+strconv.Itoa(i), "whole")
+		} else {
+			want = append(want, "whole", "whole")
+		}
+	}
+	for name, reader := range map[string]io.Reader{
+		"single read": bytes.NewReader(encoded),
+		"bytes":       iotest.OneByteReader(bytes.NewReader(encoded)),
+		"halves":      iotest.HalfReader(bytes.NewReader(encoded)),
+	} {
+		framer := NewFramer(readerConn{Reader: reader}, MaxRequestBytes, time.Second)
+		framer.Reserve = func(size int) bool { return size <= 2*initialBufferBytes }
+		for i, kind := range want {
+			frame, err := framer.Next()
+			got := "whole"
+			if errors.Is(err, ErrDiscarded) {
+				id, _ := ParseRequestID(frame)
+				got = "discarded " + strconv.Itoa(int(id))
+			} else if _, parseErr := Parse(frame); err != nil || parseErr != nil {
+				t.Fatalf("%s: message %d: got errors %v and %v", name, i, err, parseErr)
+			}
+			if got != kind {
+				t.Errorf("%s: message %d: got %s, want %s", name, i, got, kind)
+			}
+			if len(framer.buffer) > 2*initialBufferBytes {
+				t.Fatalf("%s: message %d: got a buffer of %d bytes", name, i, len(framer.buffer))
+			}
+		}
+		if _, err := framer.Next(); err != io.EOF {
+			t.Errorf("%s: got error %v at the end, want EOF", name, err)
+		}
+	}
+}
--- a/internal/msgrpc/message.go
+++ b/internal/msgrpc/message.go
@@ -106,6 +106,17 @@
 	return nil
 }
 
+// ParseRequestID parses the msgid of a request from its first bytes; ok is false if they are not those of a request.
+func ParseRequestID(prefix []byte) (id uint32, ok bool) {
+	message := new(Message)
+	rest, err := message.parseType(prefix)
+	if err != nil || message.Type != Request {
+		return 0, false
+	}
+	id, _, err = msgp.ReadUint32Bytes(rest)
+	return id, err == nil
+}
+
 // AppendRequest appends a request without its params. The caller must append the params.
 func AppendRequest(b []byte, id uint32, method string) []byte {
 	b = msgp.AppendArrayHeader(b, callValues)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -65,8 +65,8 @@
 
 // ReplaceList applies a complete list from a source. replica names the server of the source that
 // the list came from. Instances that the Set has from the source and that are absent from the list
-// are lost: they are removed, or held if more are lost than Config.MaxLoss allows and the source is not authoritative. The error is a
-// *ListTooLongError; the list is then not applied at all.
+// are lost: they are removed, or held if more are lost than Config.MaxLoss allows and the source is
+// not authoritative. The error is a *ListTooLongError; the list is then not applied at all.
 func (s *Set) ReplaceList(now time.Duration, sourceIndex int, replica string, list []Instance) ([]Change, error) {
 	src := s.sources[sourceIndex]
 	if len(list) > s.cfg.MaxInstances {
--- a/membership/staleness.go
+++ b/membership/staleness.go
@@ -3,10 +3,10 @@
 import "time"
 
 // A source may report an update of an instance that is older than the current record, because a
-// replica lags or because a clock was set back. An authoritative source reports none. Such an update is deferred, with two exceptions.
-// A stricter status of the same registration applies immediately, because no drain may be missed
-// because of a wrong clock. An update that the source repeats for Config.StaleUpdateHold applies
-// after that time, because the clock was probably set back.
+// replica lags or because a clock was set back; an authoritative source reports none. Such an update
+// is deferred, with two exceptions. A stricter status of the same registration applies immediately,
+// because no drain may be missed because of a wrong clock. An update that the source repeats for
+// Config.StaleUpdateHold applies after that time, because the clock was probably set back.
 
 // deferStaleUpdate reports whether an update must not be applied now because it is older than the
 // current record. In that case it stores the update for expireStaleUpdate.
