Leave the next request unread while there is no memory for it, and do not close its connection

What callers would have seen: since, where memory was exhausted, a request that was sent while the one before it on its HTTP/1.1 connection was being served was read and never answered, as that connection ended with the response.

Cause: without memory watchForClose did what it does beyond the most that it reads ahead, which closes the connection.

Change: it returns, as after an interrupt of net/http, and the rest stays in the socket until the response. A client that leaves meanwhile is still noticed by the look at its socket before each write, unless it has sent more.

Evidence: TestNextRequestWaitsWithoutMemory failed before (EOF in place of the second response) and passes.

--- a/internal/front/httpfront/memory_test.go
+++ b/internal/front/httpfront/memory_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"mothridge/internal/front/frontend"
 	"mothridge/internal/peers/peertest"
@@ -92,3 +93,21 @@
 		conn.Close()
 	}
 }
+
+// Guards against a request that is read and never answered because it was sent while the one before it was being served and there was
+// no memory for its bytes. They are left to the system until the response.
+func TestNextRequestWaitsWithoutMemory(t *testing.T) {
+	config := testConfig
+	config.Memory = frontend.NewRequestMemory(56 << 10)
+	handler := newBlockingHandler()
+	_, address := startFront(t, config, handler)
+	body := strings.Repeat("b", 60<<10)
+	conn, reader := dial(t, address)
+	go io.WriteString(conn, requestText("first", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)+
+		requestText("second", "Note: "+strings.Repeat("n", 12<<10)+"\r\nContent-Length: 0\r\n", ""))
+	peertest.Await(t, "the first request", handler.submitted)
+	time.Sleep(100 * time.Millisecond) // the bytes of the second request have arrived
+	close(handler.release)
+	expectStatus(t, "first", reader, http.StatusOK)
+	expectStatus(t, "second", reader, http.StatusOK)
+}
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -89,7 +89,8 @@
 // watchForClose implements the one-byte read that net/http makes during a request. It returns an
 // error if the client disconnects. Because unread bytes would hide a disconnect, watchForClose
 // continues to read and buffers the bytes. It returns one of them after net/http has interrupted the
-// read with a deadline, or when maxReadAheadBytes are buffered or there is no memory for more.
+// read with a deadline, or when maxReadAheadBytes are buffered. If there is no memory for more, it returns one too, and the
+// rest stays unread until the response.
 func (conn *clientConn) watchForClose(buffer []byte) (int, error) {
 	if len(conn.readAhead) == 0 { // usually no bytes arrive, so this path allocates no memory
 		count, err := conn.readSocket(buffer)
@@ -102,13 +103,10 @@
 		var chunk [readAheadChunkBytes]byte
 		count, err := conn.readSocket(chunk[:min(len(chunk), maxReadAheadBytes-len(conn.readAhead))])
 		conn.readAhead = append(conn.readAhead, chunk[:count]...)
-		if !conn.chargeReadAhead(count) {
-			break // the connection ends with the response, as above maxReadAheadBytes
-		}
 		if err != nil && conn.peerClosed.Load() {
 			return 0, err
 		}
-		if err != nil {
+		if hasMemory := conn.chargeReadAhead(count); err != nil || !hasMemory {
 			return conn.takeReadAhead(buffer), nil
 		}
 	}
--- a/internal/front/rpcfront/read_connection.go
+++ b/internal/front/rpcfront/read_connection.go
@@ -22,7 +22,7 @@
 	framer.Reserve = conn.chargeBuffer
 	for {
 		frame, err := framer.Next()
-		open := true
+		var open bool
 		switch {
 		case errors.Is(err, msgrpc.ErrDiscarded):
 			open = conn.handleDiscarded(frame)
