Look at the clock only where memory is short, and go through a soak's window once

A request's head took a lock and the time for a wait that is hardly ever needed, and was measured also where there is no bound: charge tries first, and chargeHead does nothing without a memory limit. rpcfront closes its account in one place, when the reader ends, which the end of the writer brings about. The soak counted and described the arrivals of a window by two loops of one shape: both work on arrivalsInWindow now, next to the check that uses them. No behaviour changes; the tests' expectations are as they were.

--- a/internal/front/httpfront/memory.go
+++ b/internal/front/httpfront/memory.go
@@ -24,10 +24,13 @@
 // chargeHead charges the memory of the head that is being read. It blocks for at most memoryWaitTimeout and returns false
 // if there is no memory. net/http has not parsed the bytes of the last read yet.
 func (conn *clientConn) chargeHead() bool {
+	if conn.memory == nil {
+		return true
+	}
 	size, lines := conn.framing.HeadSize()
 	total := int64(size) + int64(lines)*frontend.FieldOverheadBytes
 	missing := max(0, total-conn.chargedHeadBytes)
-	if !conn.memory.Add(missing, conn.memoryWaitTimeout()) {
+	if !conn.charge(missing) {
 		return false
 	}
 	conn.chargedHeadBytes += missing
@@ -48,6 +51,11 @@
 	return os.ErrDeadlineExceeded
 }
 
+// charge charges bytes. Only if they are not available at once, it blocks for at most memoryWaitTimeout.
+func (conn *clientConn) charge(bytes int64) bool {
+	return conn.memory.Add(bytes, 0) || conn.memory.Add(bytes, conn.memoryWaitTimeout())
+}
+
 // memoryWaitTimeout returns the time for which the request that is being read may wait for memory now. A wait ends with the
 // read timeout of the request.
 func (conn *clientConn) memoryWaitTimeout() time.Duration {
@@ -63,7 +71,7 @@
 // chargeBody charges the memory of further bytes of the current request's body. It blocks for at most memoryWaitTimeout
 // and returns false if there is no memory.
 func (conn *clientConn) chargeBody(bytes int64) bool {
-	if !conn.memory.Add(bytes, conn.memoryWaitTimeout()) {
+	if !conn.charge(bytes) {
 		return false
 	}
 	conn.chargedBodyBytes += bytes
--- a/internal/front/rpcfront/close.go
+++ b/internal/front/rpcfront/close.go
@@ -43,7 +43,6 @@
 	conn.mu.Lock()
 	conn.state = connClosed
 	conn.mu.Unlock()
-	conn.memory.Close()
 	if halfCloser, ok := conn.netConn.(sockets.HalfCloser); ok {
 		_ = sockets.LingeringClose(halfCloser, frontend.LingerTimeout, maxLingerBytes)
 	} else {
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -31,7 +31,7 @@
 }
 
 const (
-	minRuntimeShare = 4 // the runtime gets at least a quarter
+	minRuntimeShare = 4 // of the memory: the runtime gets at least a quarter
 	// nonHeapBytes is the memory that the process uses in addition to the runtime's memory limit:
 	// mostly the program's machine code, and the excess over the limit during a garbage collection.
 	nonHeapBytes = 16 << 20
--- a/internal/soak/arrivals.go
+++ b/internal/soak/arrivals.go
@@ -2,9 +2,20 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 )
 
+// arrival is a request that reached a cold node. startKnown says whether the request's sidecar had received the
+// start of the node by then.
+type arrival struct {
+	at         time.Time
+	sidecar    int // number
+	startKnown bool
+}
+
 // setHealth sets a node's health in the registry. A sidecar counts as having received the change at once, or,
 // while a fault affects its agent, at the time when the sidecar must have received the change at the latest.
 func (env *environment) setHealth(n *node, health string) {
@@ -125,30 +136,56 @@
 		return
 	}
 	n.arrivals = append(n.arrivals, arrival{now, number, !startKnownAt.After(now)})
-	inWindow, withStartKnown := countArrivals(n.arrivals, now)
+	window := arrivalsInWindow(n.arrivals, now)
 	limit := warmUpLimit(env.cfg.Nodes, age)
 	// The budget applies if more than two thirds of the requests come from sidecars that have received the start.
-	if float64(inWindow) > limit && 3*withStartKnown > 2*inWindow {
+	if float64(len(window)) > limit && 3*countStartKnown(window) > 2*len(window) {
 		knownAt := func(sidecar int) time.Time { return env.startKnown(n.name, sidecar) }
 		env.checker.addViolation(WarmUpOverload, "%s, started %v ago, got %d requests within %v, want at most %.0f; "+
-			"by sidecar, with the time for which it has known the start: %s", n.name, age, inWindow, slowStartOverloadWindow, limit,
-			describeArrivals(n.arrivals, now.Add(-slowStartOverloadWindow), now, knownAt))
+			"by sidecar, with the time for which it has known the start: %s", n.name, age, len(window), slowStartOverloadWindow, limit,
+			describeArrivals(window, now, knownAt))
 	}
 }
 
-// countArrivals returns how many arrivals lie in the window that ends at now, and how many of them come from sidecars that had
-// received the start. Arrivals after now are not counted: now lies in the past for a request that has waited.
-func countArrivals(arrivals []arrival, now time.Time) (inWindow, withStartKnown int) {
+// arrivalsInWindow returns the arrivals in the window that ends at now. Arrivals after now are left out: now lies in the past for
+// a request that has waited.
+func arrivalsInWindow(arrivals []arrival, now time.Time) []arrival {
+	var inWindow []arrival
 	for _, a := range arrivals {
-		if a.at.After(now) || now.Sub(a.at) > slowStartOverloadWindow {
-			continue
+		if !a.at.After(now) && now.Sub(a.at) <= slowStartOverloadWindow {
+			inWindow = append(inWindow, a)
 		}
-		inWindow++
+	}
+	return inWindow
+}
+
+// countStartKnown returns how many arrivals come from sidecars that had received the start.
+func countStartKnown(arrivals []arrival) int {
+	count := 0
+	for _, a := range arrivals {
 		if a.startKnown {
-			withStartKnown++
+			count++
+		}
+	}
+	return count
+}
+
+// describeArrivals returns, for each sidecar, how many of the arrivals are its own and for how long it has known the start of the
+// node at now; "-" if it has not received the start.
+func describeArrivals(arrivals []arrival, now time.Time, knownAt func(sidecar int) time.Time) string {
+	counts := make(map[int]int)
+	for _, a := range arrivals {
+		counts[a.sidecar]++
+	}
+	var parts []string
+	for _, number := range slices.Sorted(maps.Keys(counts)) {
+		known := "-"
+		if age := now.Sub(knownAt(number)); age >= 0 {
+			known = fmt.Sprintf("%.1fs", age.Seconds())
 		}
+		parts = append(parts, fmt.Sprintf("n%d:%d(%s)", number, counts[number], known))
 	}
-	return inWindow, withStartKnown
+	return strings.Join(parts, " ")
 }
 
 // warmUpLimit returns how many requests a node that started age ago may get within slowStartOverloadWindow, of a given number of
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -5,12 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -35,34 +33,6 @@
 	nodeBehaviourCount               // number of behaviours
 )
 
-// arrival is a request that reached a cold node. startKnown says whether the request's sidecar had received the
-// start of the node by then.
-type arrival struct {
-	at         time.Time
-	sidecar    int // number
-	startKnown bool
-}
-
-// describeArrivals returns, for each sidecar whose requests arrived from since on, how many there were and for how long it has
-// known the start of the node at now; "-" if it has not received the start.
-func describeArrivals(arrivals []arrival, since, now time.Time, knownAt func(sidecar int) time.Time) string {
-	counts := make(map[int]int)
-	for _, a := range arrivals {
-		if !a.at.Before(since) && !a.at.After(now) {
-			counts[a.sidecar]++
-		}
-	}
-	var parts []string
-	for _, number := range slices.Sorted(maps.Keys(counts)) {
-		known := "-"
-		if age := now.Sub(knownAt(number)); age >= 0 {
-			known = fmt.Sprintf("%.1fs", age.Seconds())
-		}
-		parts = append(parts, fmt.Sprintf("n%d:%d(%s)", number, counts[number], known))
-	}
-	return strings.Join(parts, " ")
-}
-
 // node is a stand-in for an upstream and for the network path to it.
 type node struct {
 	env  *environment
--- a/internal/soak/overlap_test.go
+++ b/internal/soak/overlap_test.go
@@ -55,8 +55,9 @@
 	for offset := -3 * time.Second; offset <= 3*time.Second; offset += 500 * time.Millisecond {
 		arrivals = append(arrivals, arrival{at: now.Add(offset), startKnown: offset == 0})
 	}
-	if inWindow, known := countArrivals(arrivals, now); inWindow != 3 || known != 1 {
-		t.Errorf("got %d arrivals in the window, %d with the start known; want 3 and 1", inWindow, known)
+	window := arrivalsInWindow(arrivals, now)
+	if known := countStartKnown(window); len(window) != 3 || known != 1 {
+		t.Errorf("got %d arrivals in the window, %d with the start known; want 3 and 1", len(window), known)
 	}
 }
 
