Bound the responses that wait for a MessagePack-RPC client, whatever it asked for

Cause: the bound was checked for calls alone, and without the requests in flight, whose responses come on top. Responses to ready and to unknown methods waited without a bound until the write timed out, after 1 s.

Change: every request needs room for its response beside those of the requests in flight; the connection is closed otherwise, as before for calls. The bound, four times MaxRequestsInFlight, and the check in the old test are as they were.

Tests, failing before: TestQueuedResponsesAreBounded (40, 1009 and 1009 responses, wanted 32), TestUnreadResponsesStayWithinTheMemoryLimit (183,964 and 153,316 KiB, wanted 32,768). After: 32; 21,844 and 22,272 KiB.

--- /dev/null
+++ b/cmd/sidecar/unread_responses_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"mothridge/internal/msgrpc"
+)
+
+const (
+	// unreadClients is the number of clients that send without reading.
+	unreadClients = 20
+	// unreadFor is how long the clients go on. A connection is closed after 1 s at the latest.
+	unreadFor = 4 * time.Second
+)
+
+// Guards against responses that a MessagePack-RPC client does not read and that together take the program over its memory limit:
+// the ones to readiness requests were not bounded. Other clients' requests must be answered meanwhile.
+func TestUnreadResponsesStayWithinTheMemoryLimit(t *testing.T) {
+	const memoryMB = 32
+	addresses := freeAddresses(t, 2)
+	operatorFile := writeFile(t, "mothridge.toml", "[[listener]]\nprotocol = \"msgpack-rpc\"\naddress = \""+addresses[1]+"\"\n")
+	config := platformConfig{listen: addresses[0], endpoint: "127.0.0.1:1", memoryMB: memoryMB, semantics: "single_shot"}
+	command := exec.Command(buildProgram(t), "run", "--operator", operatorFile)
+	command.Env = append(os.Environ(), "ROUTER_CONFIG="+config.write(t))
+	startProgram(t, command)
+	awaitService(t, addresses[0])
+	ready := msgp.AppendArrayHeader(msgrpc.AppendRequest(nil, 1, msgrpc.MethodReady), 0)
+	requests := bytes.Repeat(ready, 1000)
+	var done atomic.Bool
+	var clients sync.WaitGroup
+	for range unreadClients {
+		clients.Go(func() {
+			for !done.Load() {
+				sendUnread(addresses[1], requests)
+			}
+		})
+	}
+	clients.Go(func() {
+		for !done.Load() {
+			if _, err := postRequest(addresses[0]); err != nil {
+				t.Errorf("another client's request: got error %v, want a response", err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	time.Sleep(unreadFor)
+	_, peak := readMemory(t, command.Process.Pid)
+	done.Store(true)
+	clients.Wait()
+	t.Logf("at most %d KiB of resident memory", peak)
+	if peak > memoryMB<<10 {
+		t.Errorf("got %d KiB of resident memory, want at most the limit of %d KiB", peak, memoryMB<<10)
+	}
+}
+
+// sendUnread sends requests until the program closes the connection. It reads no response.
+func sendUnread(address string, requests []byte) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(unreadFor))
+	for {
+		if _, err := conn.Write(requests); err != nil {
+			return
+		}
+	}
+}
--- a/internal/front/rpcfront/handle_message.go
+++ b/internal/front/rpcfront/handle_message.go
@@ -16,7 +16,7 @@
 	// because the connection has too many requests in flight, or because there is no memory.
 	limitExceededRetryAfter = 100 * time.Millisecond
 	// maxQueuedFactor is the maximum number of responses that wait to be written, in multiples
-	// of Config.MaxRequestsInFlight.
+	// of Config.MaxRequestsInFlight. Those of the requests in flight count already.
 	maxQueuedFactor = 4
 )
 
@@ -38,6 +38,9 @@
 }
 
 func (conn *clientConn) handleRequest(message *msgrpc.Message, arrival time.Time) bool {
+	if !conn.hasRoomForResponse() {
+		return false
+	}
 	switch string(message.Method) {
 	case msgrpc.MethodReady:
 		conn.handleReady(message.ID)
@@ -89,6 +92,9 @@
 	if !isRequest {
 		return conn.onMalformed(msgrpc.ErrDiscarded.Error())
 	}
+	if !conn.hasRoomForResponse() {
+		return false
+	}
 	proceed, open := conn.enforceLimits(id)
 	if proceed {
 		conn.refuseWithoutMemory(id)
@@ -104,9 +110,6 @@
 	case duplicateID: // a response could not be assigned to one of the two requests
 		front.duplicateIDs.Add(1)
 		return false, conn.notifyProtocolError("ignored a request: its msgid is already in flight")
-	case queueFull:
-		front.stalled.Add(1)
-		return false, false
 	case limitExceeded:
 		front.limitExceeded.Add(1)
 		conn.refuse(id, "too many requests in flight or unread responses on this connection")
@@ -127,13 +130,25 @@
 	conn.queueFault(id, &msgrpc.Fault{Kind: msgrpc.KindRefused, RetryAfter: limitExceededRetryAfter, Text: text})
 }
 
+// hasRoomForResponse reports whether the response to one more request may be queued. If not, the client continues to send but does
+// not read its responses, and the connection must be closed.
+func (conn *clientConn) hasRoomForResponse() bool {
+	conn.mu.Lock()
+	expected := len(conn.responseQueue) + len(conn.inFlight)
+	conn.mu.Unlock()
+	if expected < maxQueuedFactor*conn.front.config.MaxRequestsInFlight {
+		return true
+	}
+	conn.front.stalled.Add(1)
+	return false
+}
+
 // limitCheck is the result of checking whether a connection may have one more request in flight.
 type limitCheck int
 
 const (
 	withinLimits  limitCheck = iota
 	duplicateID              // a request with the same msgid is in flight
-	queueFull                // the client continues to send but does not read its responses
 	limitExceeded            // too many requests in flight, or too many bytes of unread responses
 )
 
@@ -145,8 +160,6 @@
 	switch {
 	case inFlight:
 		return duplicateID
-	case len(conn.responseQueue) >= maxQueuedFactor*config.MaxRequestsInFlight:
-		return queueFull
 	case len(conn.inFlight) >= config.MaxRequestsInFlight, conn.bufferedBytes > config.MaxBufferedResponseBytes:
 		return limitExceeded
 	}
--- a/internal/front/rpcfront/handle_message_test.go
+++ b/internal/front/rpcfront/handle_message_test.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"mothridge/internal/core"
 	"mothridge/internal/msgrpc"
 	"mothridge/internal/peers/peertest"
@@ -142,3 +145,42 @@
 		t.Errorf("got %d notifications for %d malformed messages", notified, maxMalformedMessages)
 	}
 }
+
+// Guards against more queued responses than maxQueuedFactor allows: those of the requests in flight came on top of a full queue,
+// and the ones to readiness requests and unknown methods were not bounded at all. The writer does not run, as for a client that
+// does not read.
+func TestQueuedResponsesAreBounded(t *testing.T) {
+	const maxRequests = 8
+	for name, message := range map[string]func(id uint32) []byte{
+		"call": func(id uint32) []byte { return callBytes(id, nil) },
+		"ready": func(id uint32) []byte {
+			return msgp.AppendArrayHeader(msgrpc.AppendRequest(nil, id, msgrpc.MethodReady), 0)
+		},
+		"unknown": func(id uint32) []byte { return msgp.AppendArrayHeader(msgrpc.AppendRequest(nil, id, "add"), 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			handler := newChannelHandler()
+			front := startFront(t, Config{MaxRequestsInFlight: maxRequests}, handler)
+			serverEnd, clientEnd := net.Pipe()
+			defer serverEnd.Close()
+			defer clientEnd.Close()
+			conn := newClientConn(front, serverEnd)
+			for id := range uint32(maxRequests) {
+				conn.handleMessage(callBytes(id, nil), time.Now())
+			}
+			handled := 0
+			for conn.handleMessage(message(uint32(maxRequests+handled)), time.Now()) && handled < 1000 {
+				handled++
+			}
+			for range maxRequests {
+				peertest.Await(t, "a request to be submitted", handler.submitted).Respond(core.Response{Result: core.Served})
+			}
+			if queued := len(conn.responseQueue); queued != maxQueuedFactor*maxRequests {
+				t.Errorf("got %d queued responses, want %d", queued, maxQueuedFactor*maxRequests)
+			}
+			if stalled := front.Counters().Stalled; stalled != 1 {
+				t.Errorf("got %d stalled connections, want 1", stalled)
+			}
+		})
+	}
+}
