Start endpoints at random positions of the whole round robin cycle

A trace of every attempt and probe in a scratch copy: in the first 2 s all 2,668 attempts of the 300 sidecars ended at the 60 nodes of weight 3.5 of 185, none at those of weight 2 and 1.5.

So the first picks of every balancer were the endpoints with the highest weights, one after the other, and a sidecar with little traffic made no other picks for seconds. Not the shedding, which came after (0.5% of the tries in the first 2 s).

Change: a new endpoint's current weight is uniform over the whole cycle, around 0. Equal weights are still picked once each in a cycle.

Test, failing before: TestFirstPicksFollowWeights (a share of 1.000 of the first attempts for the highest weight, wanted 0.500). TestPicksOfEndpointThatJoins passes before and after.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -42,6 +42,7 @@
 
 	endpoints     []*endpointState // in the order in which they first appeared in the list
 	endpointsByID map[EndpointID]*endpointState
+	justAdded     []*endpointState // endpoints that the update in progress adds
 	justStarted   []*endpointState // endpoints that the update in progress reports as just started
 	weights       endpointWeights
 	lowTraffic    bool          // the balancer's own traffic is too low to show the state of the endpoints
--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -77,6 +77,7 @@
 		b.sizeBulkheads()
 	}
 	b.weights.raisePeak()
+	b.spreadNewEndpoints()
 	b.updateLowTraffic()
 }
 
@@ -102,17 +103,28 @@
 	b.weights.add(endpoint)
 }
 
-// addEndpoint adds an endpoint with a random current weight and random membership in the preferred subset, so
-// that the balancers of the fleet do not all select the same endpoint at the same time.
+// addEndpoint adds an endpoint with random membership in the preferred subset, so that the balancers of the
+// fleet do not all prefer the same endpoints.
 func (b *Balancer) addEndpoint(entry Endpoint) *endpointState {
 	endpoint := &endpointState{}
-	endpoint.currentWeight = b.random.Float64() * entry.Weight
+	b.justAdded = append(b.justAdded, endpoint)
 	endpoint.inSubset = b.random.IntN(2) != 0
 	b.endpoints = append(b.endpoints, endpoint)
 	b.endpointsByID[entry.ID] = endpoint
 	return endpoint
 }
 
+// spreadNewEndpoints starts each new endpoint at a random position of the weighted round robin's cycle, in
+// which the current weights lie around 0 and differ by up to the total weight. The first picks of a balancer
+// are then in proportion to the weights. If the current weights differed by less, the first picks of all
+// balancers of a fleet would be the endpoints with the highest weights.
+func (b *Balancer) spreadNewEndpoints() {
+	for _, endpoint := range b.justAdded {
+		endpoint.currentWeight = (b.random.Float64() - 0.5) * b.weights.ready.weight
+	}
+	b.justAdded = b.justAdded[:0]
+}
+
 // requestWatch sends a watch request and schedules a repeat in case the request gets no response.
 func (b *Balancer) requestWatch(now time.Duration) {
 	interval := b.cfg.WatchRequestWithin * watchRepeatNumerator / watchRepeatDenominator
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -110,9 +110,14 @@
 
 // newTestBalancer returns a started Balancer with an endpoint list.
 func newTestBalancer(t testing.TB, cfg Config, list []Endpoint) (*Balancer, *fakeHost) {
+	t.Helper()
+	return newSeededBalancer(t, cfg, 1, list)
+}
+
+func newSeededBalancer(t testing.TB, cfg Config, seed uint64, list []Endpoint) (*Balancer, *fakeHost) {
 	t.Helper()
 	h := newFakeHost()
-	b, err := New(cfg, 1, h)
+	b, err := New(cfg, seed, h)
 	if err != nil {
 		t.Fatalf("New: %v", err)
 	}
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -24,6 +24,54 @@
 	}
 }
 
+// Guards against a fleet whose balancers all send their first requests to the endpoints with the highest weights, which overloads
+// these while the others are idle: the attempts of a large fleet must be proportional to the weights from the first one on.
+func TestFirstPicksFollowWeights(t *testing.T) {
+	const balancers, requests = 300, 4
+	var list []Endpoint
+	totalWeight := 0.0
+	for id := range EndpointID(180) {
+		weight := []float64{1.5, 2, 3.5}[id%3]
+		list = append(list, Endpoint{ID: id, Health: Ready, Weight: weight})
+		totalWeight += weight
+	}
+	attempts := map[float64]float64{}
+	for seed := range uint64(balancers) {
+		b, h := newSeededBalancer(t, testConfig(), seed, list)
+		for id := range RequestID(requests) {
+			receive(b, time.Duration(id)*ms, id, idempotentClass)
+		}
+		for _, sent := range h.sends {
+			attempts[list[sent.to].Weight] += 1.0 / (balancers * requests)
+		}
+	}
+	for weight, share := range attempts {
+		if want := 60 * weight / totalWeight; math.Abs(share-want) > 0.05 {
+			t.Errorf("endpoints of weight %v: got a share of %.3f of the first attempts, want %.3f", weight, share, want)
+		}
+	}
+	if len(attempts) != 3 {
+		t.Errorf("got attempts at endpoints of %d weights, want 3", len(attempts))
+	}
+}
+
+// An endpoint that joins must get its part of the attempts from then on, neither more nor less.
+func TestPicksOfEndpointThatJoins(t *testing.T) {
+	const balancers, requests = 1000, 4
+	attempts := 0
+	for seed := range uint64(balancers) {
+		b, h := newSeededBalancer(t, testConfig(), seed, readyEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9))
+		b.EndpointsUpdated(0, DeltaUpdate, readyEndpoints(10))
+		for id := range RequestID(requests) {
+			receive(b, time.Duration(id)*ms, id, idempotentClass)
+		}
+		attempts += h.attemptsAt(10)
+	}
+	if share := float64(attempts) / (balancers * requests); math.Abs(share-0.1) > 0.02 {
+		t.Errorf("got a share of %.3f of the first attempts, want 0.1", share)
+	}
+}
+
 // An endpoint whose weight is missing or not a number must get attempts as with weight 1.
 func TestInvalidWeightsCountAsOne(t *testing.T) {
 	list := []Endpoint{{ID: 1, Health: Ready}, {ID: 2, Health: Ready, Weight: math.NaN()}}
