Spread new endpoints over the cycle of the candidates, not of all zones

Cause, found by reading: the current weights were spread over the sum of all endpoints' weights, while the cycle of a balancer that prefers endpoints is the sum of the preferred ones.

Change: preferred endpoints are spread over their own sum, the others over theirs.

--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -77,8 +77,8 @@
 		b.sizeBulkheads()
 	}
 	b.weights.raisePeak()
-	b.spreadNewEndpoints()
 	b.updateLowTraffic()
+	b.spreadNewEndpoints()
 }
 
 // applyEntry adds or updates one endpoint. A start later than the known start begins a new slow start and
@@ -115,16 +115,40 @@
 }
 
 // spreadNewEndpoints starts each new endpoint at a random position of the weighted round robin's cycle, in
-// which the current weights lie around 0 and differ by up to the total weight. The first picks of a balancer
-// are then in proportion to the weights. If the current weights differed by less, the first picks of all
-// balancers of a fleet would be the endpoints with the highest weights.
+// which the current weights lie around 0 and differ by up to the total weight of the candidates. The first
+// picks of a balancer are then in proportion to the weights. If the current weights differed by less, the
+// first picks of all balancers of a fleet would be the endpoints with the highest weights; if they differed
+// by more, some endpoints would be picked several times before others.
 func (b *Balancer) spreadNewEndpoints() {
+	if len(b.justAdded) == 0 {
+		return
+	}
+	preferredWeight, otherWeight := b.candidateWeights()
 	for _, endpoint := range b.justAdded {
-		endpoint.currentWeight = (b.random.Float64() - 0.5) * b.weights.ready.weight
+		cycleWeight := otherWeight
+		if b.isPreferredCandidate(endpoint) {
+			cycleWeight = preferredWeight
+		}
+		endpoint.currentWeight = (b.random.Float64() - 0.5) * cycleWeight
 	}
 	b.justAdded = b.justAdded[:0]
 }
 
+// candidateWeights returns the total weights of the endpoints that selectEndpoint considers first and of the
+// others, which it considers only if none of the first can take the request.
+func (b *Balancer) candidateWeights() (preferred, others float64) {
+	for _, endpoint := range b.endpoints {
+		switch {
+		case endpoint.Health != Ready:
+		case b.isPreferredCandidate(endpoint):
+			preferred += endpoint.Weight
+		default:
+			others += endpoint.Weight
+		}
+	}
+	return preferred, others
+}
+
 // requestWatch sends a watch request and schedules a repeat in case the request gets no response.
 func (b *Balancer) requestWatch(now time.Duration) {
 	interval := b.cfg.WatchRequestWithin * watchRepeatNumerator / watchRepeatDenominator
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -22,7 +22,7 @@
 // attempts at other zones have a cost, an endpoint that is not preferred is picked only when no preferred
 // endpoint can take the request.
 func (b *Balancer) selectEndpoint(now time.Duration, request *requestState) *endpointState {
-	picked := selection{preferredOnly: b.cfg.CrossZoneCost > 0, skippedWeight: math.Inf(-1)}
+	picked := selection{preferredOnly: b.prefersEndpoints(), skippedWeight: math.Inf(-1)}
 	picked = b.scanEndpoints(now, request, picked)
 	if picked.best == nil && picked.preferredOnly {
 		picked.preferredOnly = false
@@ -66,6 +66,14 @@
 	return picked
 }
 
+// prefersEndpoints reports whether only preferred endpoints are candidates at first.
+func (b *Balancer) prefersEndpoints() bool { return b.cfg.CrossZoneCost > 0 }
+
+// isPreferredCandidate reports whether an endpoint is a candidate at first.
+func (b *Balancer) isPreferredCandidate(endpoint *endpointState) bool {
+	return !b.prefersEndpoints() || b.preferred(endpoint)
+}
+
 // preferred reports whether an endpoint is in the balancer's own zone and, while traffic is low, in the
 // balancer's subset. With a subset, fewer connections carry the traffic, so that connections stay in use and
 // fewer have to be opened, which has a cost.
--- a/policy/selection_test.go
+++ b/policy/selection_test.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// The first attempts of a balancer must reach each endpoint of its own zone once before any of them again, also if there are many
+// endpoints in other zones.
+func TestFirstPicksInTheOwnZoneAreEven(t *testing.T) {
+	cfg := testConfig()
+	cfg.CrossZoneCost, cfg.Zone = 0.02, 1
+	list := readyEndpoints(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+	for i := range 3 {
+		list[i].Zone = 1
+	}
+	for seed := range uint64(20) {
+		b, h := newSeededBalancer(t, cfg, seed, list)
+		for id := range RequestID(3) {
+			now := time.Duration(id) * 20 * ms
+			receive(b, now, id, idempotentClass)
+			endAttempt(b, now+10*ms, id, 0, Served)
+		}
+		if h.attemptsAt(1) != 1 || h.attemptsAt(2) != 1 || h.attemptsAt(3) != 1 {
+			t.Errorf("seed %d: got sends %v, want one at each of the endpoints 1, 2 and 3", seed, h.sends)
+		}
+	}
+}
+
 // An endpoint whose weight is missing or not a number must get attempts as with weight 1.
 func TestInvalidWeightsCountAsOne(t *testing.T) {
 	list := []Endpoint{{ID: 1, Health: Ready}, {ID: 2, Health: Ready, Weight: math.NaN()}}
