--- a/cmd/sidecar/unfinished_requests_test.go
+++ b/cmd/sidecar/unfinished_requests_test.go
@@ -73,12 +73,26 @@
 		}
 		defer conn.Close()
 	}
+	peak := peakMemoryUnder(t, command.Process.Pid, address, unfinishedFor, unfinishedClients, func(client, try int) {
+		sendUnfinished(address, request(fmt.Sprint(client, "-", try)))
+	})
+	if peak > memoryMB<<10 {
+		t.Errorf("got %d KiB of resident memory, want at most the limit of %d KiB", peak, memoryMB<<10)
+	}
+}
+
+// peakMemoryUnder lets a number of bad clients call send over and over for a duration, and returns the program's peak of resident
+// memory until then, in KiB. Meanwhile another client's requests to address must be answered.
+func peakMemoryUnder(
+	t *testing.T, pid int, address string, duration time.Duration, badClients int, send func(client, try int),
+) int {
+	t.Helper()
 	var done atomic.Bool
 	var clients sync.WaitGroup
-	for i := range unfinishedClients {
+	for client := range badClients {
 		clients.Go(func() {
 			for try := 0; !done.Load(); try++ {
-				sendUnfinished(address, request(fmt.Sprint(i, "-", try)))
+				send(client, try)
 			}
 		})
 	}
@@ -90,14 +104,12 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
-	time.Sleep(unfinishedFor)
-	_, peak := readMemory(t, command.Process.Pid)
+	time.Sleep(duration)
+	_, peak := readMemory(t, pid)
 	done.Store(true)
 	clients.Wait()
 	t.Logf("at most %d KiB of resident memory", peak)
-	if peak > memoryMB<<10 {
-		t.Errorf("got %d KiB of resident memory, want at most the limit of %d KiB", peak, memoryMB<<10)
-	}
+	return peak
 }
 
 // sendUnfinished sends a request that is not complete, and waits until the program responds or closes the connection.
--- a/cmd/sidecar/unread_responses_test.go
+++ b/cmd/sidecar/unread_responses_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,28 +33,9 @@
 	awaitService(t, addresses[0])
 	ready := msgp.AppendArrayHeader(msgrpc.AppendRequest(nil, 1, msgrpc.MethodReady), 0)
 	requests := bytes.Repeat(ready, 1000)
-	var done atomic.Bool
-	var clients sync.WaitGroup
-	for range unreadClients {
-		clients.Go(func() {
-			for !done.Load() {
-				sendUnread(addresses[1], requests)
-			}
-		})
-	}
-	clients.Go(func() {
-		for !done.Load() {
-			if _, err := postRequest(addresses[0]); err != nil {
-				t.Errorf("another client's request: got error %v, want a response", err)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
+	peak := peakMemoryUnder(t, command.Process.Pid, addresses[0], unreadFor, unreadClients, func(int, int) {
+		sendUnread(addresses[1], requests)
 	})
-	time.Sleep(unreadFor)
-	_, peak := readMemory(t, command.Process.Pid)
-	done.Store(true)
-	clients.Wait()
-	t.Logf("at most %d KiB of resident memory", peak)
 	if peak > memoryMB<<10 {
 		t.Errorf("got %d KiB of resident memory, want at most the limit of %d KiB", peak, memoryMB<<10)
 	}
