Start programs under test on loopback addresses of their own

The other client's requests at its address were answered all the while, so another program listened there.

Cause: freeAddresses releases a port of 127.0.0.1 before the program binds it, and another test may take it meanwhile. With the collision forced, by another program at the address, the test panics at the same line and the program says 'bind: address already in use'.

Change: each call listens on a loopback address of its own, by process and count, where no other test listens. readMemory says that the process has ended instead of panicking. What the tests assert is as it was.

--- a/cmd/sidecar/memory_test.go
+++ b/cmd/sidecar/memory_test.go
@@ -93,7 +93,10 @@
 		b.Fatal(err)
 	}
 	read := func(name string) int {
-		_, after, _ := strings.Cut(string(text), name+":")
+		_, after, found := strings.Cut(string(text), name+":")
+		if !found {
+			b.Fatalf("process %d has no %s: it has ended", pid, name)
+		}
 		kB, err := strconv.Atoi(strings.Fields(after)[0])
 		if err != nil {
 			b.Fatal(err)
--- a/cmd/sidecar/program_test.go
+++ b/cmd/sidecar/program_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,12 +134,23 @@
 	}
 }
 
+// loopbackHosts counts the calls of unusedLoopbackHost.
+var loopbackHosts atomic.Uint32
+
+// unusedLoopbackHost returns a loopback address that no other call, in this process or another one of the tests, uses. A port of it
+// that was released stays free; a port of 127.0.0.1 may be taken by another test's listener or client before the program binds it.
+func unusedLoopbackHost() string {
+	const octets = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%120, pid/120%octets, 1+loopbackHosts.Add(1)%octets)
+}
+
 // freeAddresses returns loopback addresses at which no process listens.
 func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
 	addresses := make([]string, count)
 	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", unusedLoopbackHost()+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
