Review cases 7 to 10: short lengths, endless answers, deleted upstreams, hidden closes

Change: review/7 (an answer with too short a length is served), review/8 (answers that never end exceed the memory limit), review/9 (an upstream deleted from a Eureka registry gets new work); the former case 7 is now review/10, as the lesser one. Fixes nothing.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,8 +16,12 @@
 type playCase func(play *play) (broken []string, err error)
 
 var cases = map[string]playCase{
-	"6": playAddressReuse,
-	"7": playMuchAndGone,
+	"6":  playAddressReuse,
+	"7":  playShortLength,
+	"8":  playEndlessAnswers,
+	"9":  playDeregistered,
+	"9b": playOldReplica,
+	"10": playMuchAndGone,
 }
 
 func main() { os.Exit(run()) }
