Review case 7: a plug-in that labels nodes lets a keyed request run twice

Cause: the label site of a member hook replaces the zone by which the decision module tells who drops a repeat. Change: review/7 with its claim; the other cases move to 8 (lengths), 9 (memory), 10 (Eureka), in the order of their weight. Each play has a loopback address of its own, so that no other connection takes a freed port. Fixes nothing.

--- a/review/standins-2/case6.go
+++ b/review/standins-2/address_reuse.go
@@ -12,14 +12,14 @@
 // playAddressReuse replaces an upstream by a new one, of another pod and under a new id, at the address of the
 // one that has gone. Discovery tells the start 1 s later and the going 9 s later.
 func playAddressReuse(p *play) (broken []string, err error) {
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}, {number: 2, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1), newHivesPod(2)}
 	treat := func(string) treatment {
 		return treatment{work: time.Duration(30+rand.IntN(40)) * time.Millisecond, reset: rand.Float64() < resetShare}
 	}
 	var nodes []*node
 	var list []entry
 	for i := range 12 {
-		n, err := startNode(p, fmt.Sprintf("s-old-%02d", i), "127.0.0.1:0", pods[i%2], treat)
+		n, err := startNode(p, fmt.Sprintf("s-old-%02d", i), loopback+":0", pods[i%2], treat)
 		if err != nil {
 			return nil, err
 		}
@@ -77,7 +77,7 @@
 }
 
 func entryOf(n *node, born int64) entry {
-	return entry{Host: n.name, Dial: n.address, Site: depot, Class: "std-2", Block: n.pod.number, Health: "up", Share: 1, Born: born}
+	return entry{Host: n.name, Dial: n.address, Site: n.pod.zone, Class: "std-2", Block: n.pod.number, Health: "up", Share: 1, Born: born}
 }
 
 // twice returns a description of each key whose effect was applied more than once.
--- a/review/standins-2/agent.go
+++ b/review/standins-2/agent.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -42,7 +41,7 @@
 }
 
 func startAgent(p *play, list []entry) (*agent, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -104,6 +103,11 @@
 	seq := 0
 	fmt.Sscan(r.URL.Query().Get("from"), &seq)
 	controller := http.NewResponseController(w)
+	if seq == 0 { // the sidecar has no list
+		whole := a.whole()
+		seq = whole["seq"].(int)
+		json.NewEncoder(w).Encode(whole)
+	}
 	for first := true; ; first = false {
 		hosts, now, wake := a.since(seq)
 		if len(hosts) > 0 || first {
--- a/review/standins-2/case9.go
+++ b/review/standins-2/deregistered.go
@@ -22,11 +22,11 @@
 	if err != nil {
 		return nil, err
 	}
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1)}
 	treat := func(string) treatment { return treatment{work: time.Duration(30+rand.IntN(40)) * time.Millisecond} }
 	var nodes []*node
 	start := func(name string) error {
-		n, err := startNode(p, name, "127.0.0.1:0", pods[0], treat)
+		n, err := startNode(p, name, loopback+":0", pods[0], treat)
 		if err != nil {
 			return err
 		}
@@ -102,7 +102,10 @@
 	if err != nil {
 		return nil, err
 	}
-	address := freeAddress()
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
 	process := &sidecar{exited: make(chan struct{}), command: exec.Command("/bin/sh", "-c", command+" standin eureka --duration 110s --address "+address)}
 	process.command.Dir = p.root
 	if err := process.command.Start(); err != nil {
--- a/review/standins-2/case8.go
+++ b/review/standins-2/endless_answers.go
@@ -19,7 +19,7 @@
 func playEndlessAnswers(p *play) (broken []string, err error) {
 	fmt.Sscan(os.Getenv("MB"), &memoryMB)
 	fmt.Sscan(os.Getenv("SHARE"), &endlessShare)
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1)}
 	treat := func(id string) treatment {
 		t := treatment{work: time.Duration(30+rand.IntN(30)) * time.Millisecond}
 		if p.trouble && rand.Float64() < endlessShare {
@@ -30,7 +30,7 @@
 	var nodes []*node
 	var list []entry
 	for i := range 12 {
-		n, err := startNode(p, fmt.Sprintf("s-%02d", i), "127.0.0.1:0", pods[0], treat)
+		n, err := startNode(p, fmt.Sprintf("s-%02d", i), loopback+":0", pods[0], treat)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -16,12 +16,13 @@
 type playCase func(play *play) (broken []string, err error)
 
 var cases = map[string]playCase{
-	"6":  playAddressReuse,
-	"7":  playShortLength,
-	"8":  playEndlessAnswers,
-	"9":  playDeregistered,
-	"9b": playOldReplica,
-	"10": playMuchAndGone,
+	"6":       playAddressReuse,
+	"7":       playLabelledZones,
+	"8":       playShortLength,
+	"9":       playEndlessAnswers,
+	"10":      playDeregistered,
+	"gone":    playMuchAndGone,
+	"replica": playOldReplica,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standins-2/case10.go
+++ b/review/standins-2/much_and_gone.go
@@ -9,7 +9,7 @@
 
 // playMuchAndGone has clients that send much at once and go.
 func playMuchAndGone(p *play) (broken []string, err error) {
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1)}
 	var mu sync.Mutex
 	tries := map[string]int{}
 	treat := func(id string) treatment { // the first connection under a request is reset after 200 ms
@@ -24,7 +24,7 @@
 	var nodes []*node
 	var list []entry
 	for i := range 9 {
-		n, err := startNode(p, fmt.Sprintf("s-%02d", i), "127.0.0.1:0", pods[0], treat)
+		n, err := startNode(p, fmt.Sprintf("s-%02d", i), loopback+":0", pods[0], treat)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -20,15 +20,22 @@
 	dropped bool // a repeat that the pod dropped
 }
 
-// pod is a cell of upstreams, which share the keys that they have seen.
+// pod is a group of upstreams, which share the keys that they have seen.
 type pod struct {
 	number int
-	mu     sync.Mutex
-	seen   map[string]time.Time
+	zone   string
+	window time.Duration // for which a repeat of a key is dropped
+
+	mu   sync.Mutex
+	seen map[string]time.Time
+}
+
+func newPod(number int, zone string, window time.Duration) *pod {
+	return &pod{number: number, zone: zone, window: window, seen: make(map[string]time.Time)}
 }
 
-// dedupWindow is how long the upstreams of a pod drop a repeat of a key.
-const dedupWindow = 600 * time.Millisecond
+// newHivesPod returns a pod of the site toowoomba-hives.
+func newHivesPod(number int) *pod { return newPod(number, depot, 600*time.Millisecond) }
 
 // isRepeat reports whether the pod has seen the key within the window, and remembers the key.
 func (p *pod) isRepeat(key string) bool {
@@ -38,7 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	first, seen := p.seen[key]
-	if seen && time.Since(first) < dedupWindow {
+	if seen && time.Since(first) < p.window {
 		return true
 	}
 	p.seen[key] = time.Now()
--- a/review/standins-2/case9b.go
+++ b/review/standins-2/old_replica.go
@@ -10,11 +10,11 @@
 // playOldReplica takes an upstream out of service in a registry of two replicas, of which the one in use falls
 // silent right after it has told so.
 func playOldReplica(p *play) (broken []string, err error) {
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1)}
 	treat := func(string) treatment { return treatment{work: 50 * time.Millisecond} }
 	var nodes []*node
 	for i := range 6 {
-		n, err := startNode(p, fmt.Sprintf("s-%02d", i), "127.0.0.1:0", pods[0], treat)
+		n, err := startNode(p, fmt.Sprintf("s-%02d", i), loopback+":0", pods[0], treat)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins-2/play.go
+++ b/review/standins-2/play.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -101,7 +100,10 @@
 	if err != nil {
 		return nil, err
 	}
-	address := freeAddress()
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
 	config["name"], config["listen"] = name, address
 	s := &sidecar{
 		address: address, exited: make(chan struct{}),
@@ -175,13 +177,3 @@
 		p.record("log %s", line)
 	}
 }
-
-// freeAddress returns a free loopback address.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:1"
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
--- a/review/standins-2/registry.go
+++ b/review/standins-2/registry.go
@@ -29,7 +29,7 @@
 }
 
 func startReplica(p *play, name string, nodes []*node) (*replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/review/standins-2/case7.go
+++ b/review/standins-2/short_length.go
@@ -13,7 +13,7 @@
 
 // playShortLength has upstreams some of whose answers have a Content-Length that is less than their body.
 func playShortLength(p *play) (broken []string, err error) {
-	pods := []*pod{{number: 1, seen: map[string]time.Time{}}}
+	pods := []*pod{newHivesPod(1)}
 	treat := func(id string) treatment {
 		t := treatment{work: time.Duration(30+rand.IntN(30)) * time.Millisecond}
 		if p.trouble && rand.Float64() < wrongLengthShare {
@@ -23,7 +23,7 @@
 	}
 	var list []entry
 	for i := range 9 {
-		n, err := startNode(p, fmt.Sprintf("s-%02d", i), "127.0.0.1:0", pods[0], treat)
+		n, err := startNode(p, fmt.Sprintf("s-%02d", i), loopback+":0", pods[0], treat)
 		if err != nil {
 			return nil, err
 		}
