--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -35,10 +35,12 @@
 		fmt.Fprintln(os.Stderr, "drill:", err)
 		return 2
 	}
+	play.endOnSignal()
 	broken, err := cases[os.Args[1]](play)
 	play.end()
 	if err != nil {
 		play.record("could not run: %v", err)
+		play.close()
 		fmt.Fprintln(os.Stderr, "drill:", err)
 		return 2
 	}
--- a/review/standins-2/play.go
+++ b/review/standins-2/play.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -55,9 +57,29 @@
 	fmt.Fprintf(p.out, format+"\n", args...)
 }
 
+// longestPlay is the time after which a play ends itself.
+const longestPlay = 110 * time.Second
+
+// endOnSignal ends the play when it is told to, and when it takes too long.
+func (p *play) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(longestPlay):
+		}
+		p.end()
+		os.Exit(2)
+	}()
+}
+
 // end ends all processes that the play started and removes its folder.
 func (p *play) end() {
-	for _, s := range p.sidecars {
+	p.mu.Lock()
+	started := slices.Clone(p.sidecars)
+	p.mu.Unlock()
+	for _, s := range started {
 		s.kill()
 	}
 	os.RemoveAll(p.folder)
@@ -129,7 +151,9 @@
 		return nil, err
 	}
 	go func() { s.command.Wait(); close(s.exited) }()
+	p.mu.Lock()
 	p.sidecars = append(p.sidecars, s)
+	p.mu.Unlock()
 	return s, s.awaitReady()
 }
 
