Review case 8: half messages keep MessagePack-RPC clients from being answered

Cause: at the bound on connections of the MessagePack-RPC listener only idle ones make way, and accepting stops. Fixes nothing.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,9 +18,9 @@
 var cases = map[string]playCase{
 	"6":  playAddressReuse,
 	"7":  playLabelledZones,
-	"8":  playEndlessAnswers,
-	"9":  playRunawayState,
-	"10": playReloads,
+	"8":  playHalfMessages,
+	"9":  playEndlessAnswers,
+	"10": playRunawayState,
 }
 
 func main() { os.Exit(run()) }
