Review case 8: play the half messages for 30 s

Cause: in one of five runs of 12 s only three requests had no answer, as the connections of the bad clients ended one by one. Change: the bad clients go on for 30 s.

--- a/review/standins-2/half_messages.go
+++ b/review/standins-2/half_messages.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	end := time.Now().Add(15 * time.Second)
+	end := time.Now().Add(33 * time.Second)
 	var running sync.WaitGroup
 	if p.trouble {
 		time.AfterFunc(3*time.Second, func() {
