--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -162,7 +162,11 @@
 		case <-ticker.C:
 			running.Go(func() {
 				a := next()
+				p.record("sent: %s %s key %s", a.id, a.class, a.key)
 				got := clients.do(a)
+				if got.status == http.StatusOK {
+					p.served.Add(1)
+				}
 				p.record("answered: %s %s: %d %v %.40q in %v", a.id, a.class, got.status, got.err, got.body, got.took.Round(time.Millisecond))
 				if check != nil {
 					check(a, got)
--- a/review/standins-2/labelled_zones.go
+++ b/review/standins-2/labelled_zones.go
@@ -44,7 +44,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := p.startSidecar("n0", freight(discovery.address, nil), arguments)
+	known := discovery.whole()
+	known["seq"] = 0 // an old version, so that discovery answers with the whole list
+	s, err := p.startSidecar("n0", freight(discovery.address, known), arguments)
 	if err != nil {
 		return nil, err
 	}
@@ -59,7 +61,7 @@
 	close(stop)
 	<-done
 	p.copyLog(s)
-	return twice(all(nodes)), nil
+	return twice(all(nodes)), p.checkServed(s)
 }
 
 // writePlugin writes the plug-in and an operators' file that names it, and returns the arguments of the command.
--- a/review/standins-2/play.go
+++ b/review/standins-2/play.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,7 @@
 	root    string // the repository's root
 	folder  string // temporary
 	started time.Time
+	served  atomic.Int64 // requests that were answered 200
 
 	mu       sync.Mutex
 	out      *bufio.Writer
@@ -193,6 +195,21 @@
 	<-s.exited
 }
 
+// leastServed is how many requests have to be served for a play to say anything.
+const leastServed = 100
+
+// checkServed returns an error if the sidecar has ended by itself or has served hardly anything: the play could not
+// run then.
+func (p *play) checkServed(s *sidecar) error {
+	if s.hasExited() {
+		return errors.New("the sidecar has ended")
+	}
+	if n := p.served.Load(); n < leastServed {
+		return fmt.Errorf("only %d requests were served", n)
+	}
+	return nil
+}
+
 // copyLog copies the end of the sidecar's log to the record.
 func (p *play) copyLog(s *sidecar) {
 	text, _ := os.ReadFile(s.log)
