--- a/review/standins-2/runaway_state.go
+++ b/review/standins-2/runaway_state.go
@@ -13,7 +13,7 @@
 	stateMaps     = 16  // as many as the language allows
 	stateMemoryMB = 32  // the sidecar's memory limit in MiB
 	stateRate     = 200 // requests a second
-	stateTime     = 40 * time.Second
+	stateTime     = 60 * time.Second
 )
 
 // playRunawayState has a plug-in that goes on adding to its state, and watches the memory of the sidecar.
