--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -59,11 +59,14 @@
 // from Core.now, within which the last byte of the attempt must be written; 0 means no bound.
 func (c *Core) attemptMessage(a *attempt, endpoint *endpointState, writeWithin time.Duration) *Message {
 	message := a.request.Message
+	class := &c.config.Policy.Classes[a.request.Class]
 	message.guard = &attemptGuard{
 		core:     c,
 		request:  a.request,
 		endpoint: endpoint,
 		number:   a.number,
+
+		needsKnownProcess: writeWithin > 0 && class.DedupScope != policy.ScopeAll,
 	}
 	if writeWithin > 0 {
 		eventDuration := c.clock.now() - c.now
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,9 +99,9 @@
 		watchRequests: make(chan struct{}, 1),
 		requests:      newRequestRegistry(),
 		timer:         newBalancerTimer(),
-		endpoints:     newEndpointTable(config.Zones, config.NewUpstream),
 		pauses:        pauseDetector{startedAt: startedAt},
 	}
+	c.endpoints = newEndpointTable(config.Zones, config.NewUpstream, c.processEnded)
 	balancer, err := policy.New(config.Policy, config.Seed, balancerHost{core: c})
 	if err != nil {
 		return nil, err
@@ -139,6 +139,13 @@
 // is pending.
 func (c *Core) WatchRequests() <-chan struct{} { return c.watchRequests }
 
+// processEnded records a sign that the process of an endpoint's upstream has ended. It is called from the
+// goroutines of transports.
+func (c *Core) processEnded(endpoint *endpointState, upstream Upstream) {
+	endpoint.processEndedAt.Store(int64(c.clock.now()))
+	c.post(upstreamProcessEnded{endpoint: endpoint, upstream: upstream})
+}
+
 // Shutdown completes all requests immediately and rejects later ones. Shutdown may block while the event
 // loop is busy, and does not wait for the responses.
 func (c *Core) Shutdown() { c.post(shutdownRequested{}) }
--- a/internal/core/endpoint_table.go
+++ b/internal/core/endpoint_table.go
@@ -21,6 +21,15 @@
 	// unavailableSince is when the endpoint began to drain or was removed, on the Balancer's clock; 0 if the
 	// endpoint is ready. The guard reads unavailableSince from the goroutines of attempts.
 	unavailableSince atomic.Int64
+
+	// processEndedAt is when the latest sign was seen that the process at the address has ended or is that of
+	// another endpoint, on the Balancer's clock; 0 if there was none since the list reported the process.
+	// Transports write it and the guard reads it.
+	processEndedAt atomic.Int64
+
+	addressReuse    addressReuse
+	addressReusedAt time.Duration // when addressReuse was set, on the Balancer's clock
+	claimedIn       uint64        // number of the update that last reported a process of the endpoint
 }
 
 // markUnavailable records that no further attempt may be started at the endpoint.
@@ -36,14 +45,26 @@
 	zones       zoneNumbers
 	newUpstream func(Endpoint) Upstream
 	discovered  bool // an update other than the cached list has been applied
+
+	addresses addressIndex
+	updates   uint64           // number of the current update
+	displaced []*endpointState // endpoints that lost their address in the current update
+
+	// onProcessEnd is called, from any goroutine, when an upstream shows a sign that its process has ended.
+	onProcessEnd func(*endpointState, Upstream)
 }
 
-func newEndpointTable(zones []string, newUpstream func(Endpoint) Upstream) endpointTable {
+func newEndpointTable(
+	zones []string, newUpstream func(Endpoint) Upstream, onProcessEnd func(*endpointState, Upstream),
+) endpointTable {
 	return endpointTable{
 		byName:      make(map[string]*endpointState),
 		byID:        make(map[policy.EndpointID]*endpointState),
 		zones:       newZoneNumbers(zones),
 		newUpstream: newUpstream,
+
+		addresses:    make(addressIndex),
+		onProcessEnd: onProcessEnd,
 	}
 }
 
@@ -80,7 +101,9 @@
 func (t *endpointTable) merge(
 	entries []Endpoint, complete bool, now, confirmedAt time.Duration,
 ) (merged []policy.Endpoint, present map[string]bool) {
-	merged = make([]policy.Endpoint, 0, len(entries))
+	t.updates++
+	t.displaced = t.displaced[:0]
+	named := make([]*endpointState, 0, len(entries))
 	if complete {
 		present = make(map[string]bool, len(entries))
 	}
@@ -88,8 +111,8 @@
 		if present[entry.Name] {
 			slog.Warn("discovery: endpoint list contains a name more than once", "endpoint", entry.Name)
 		}
-		endpoint, valid := t.upsert(entry, now, confirmedAt)
-		if !valid {
+		endpoint := t.upsert(entry, now, confirmedAt)
+		if endpoint == nil {
 			if entry.Health != Removed {
 				slog.Warn("discovery: ignoring an endpoint without a name or with an invalid address", "endpoint", entry.Name, "address", entry.Addr)
 			}
@@ -98,51 +121,109 @@
 		if complete {
 			present[entry.Name] = true
 		}
-		merged = append(merged, endpoint)
+		named = append(named, endpoint)
+	}
+	// An entry can change the state of endpoints that the update names before it, or not at all.
+	merged = make([]policy.Endpoint, 0, len(named)+len(t.displaced))
+	for _, endpoint := range named {
+		merged = append(merged, t.policyEndpoint(endpoint))
+	}
+	return t.appendDisplaced(merged, present), present
+}
+
+// appendDisplaced appends the endpoints that have lost their address because of the current update and that
+// the update may not name. present contains the names of a complete list, which removes all other endpoints;
+// it is nil for a delta.
+func (t *endpointTable) appendDisplaced(merged []policy.Endpoint, present map[string]bool) []policy.Endpoint {
+	for _, endpoint := range t.displaced {
+		if present[endpoint.entry.Name] {
+			continue
+		}
+		displaced := t.policyEndpoint(endpoint)
+		if present != nil {
+			displaced.Health = policy.Removed
+		}
+		merged = append(merged, displaced)
 	}
-	return merged, present
+	return merged
 }
 
-// upsert adds or changes the endpoint of an entry, and returns the endpoint in the Balancer's form. It
-// returns false if the entry is invalid. confirmedAt is EndpointUpdate.ConfirmedAt on the Balancer's
-// clock; 0 if unknown.
-func (t *endpointTable) upsert(entry Endpoint, now, confirmedAt time.Duration) (policy.Endpoint, bool) {
+// upsert adds or changes the endpoint of an entry, and returns the endpoint. It returns nil if the entry is
+// invalid. confirmedAt is EndpointUpdate.ConfirmedAt on the Balancer's clock; 0 if unknown.
+func (t *endpointTable) upsert(entry Endpoint, now, confirmedAt time.Duration) *endpointState {
 	if entry.Name == "" {
-		return policy.Endpoint{}, false
+		return nil
 	}
 	endpoint := t.byName[entry.Name]
 	appeared := endpoint == nil && t.discovered
 	if !validAddress(entry.Addr) {
 		if endpoint == nil || entry.Health == Ready {
-			return policy.Endpoint{}, false
+			return nil
 		}
 		entry.Addr = endpoint.entry.Addr // the endpoint receives no new attempts, so its address does not matter
 	}
-	if endpoint == nil {
-		endpoint = t.add(entry)
-	} else if endpoint.movedOrRestarted(entry) {
-		endpoint.upstream.Retire()
-		endpoint.upstream = t.newUpstream(entry)
+	newProcess := endpoint == nil || endpoint.movedOrRestarted(entry) || t.addresses.regainsAddress(endpoint, now)
+	if newProcess {
+		endpoint = t.connect(endpoint, entry)
 	}
 	endpoint.updateStart(entry, appeared, now, confirmedAt)
 	endpoint.entry = entry
-	if entry.Health == Ready {
+	if newProcess && entry.Health != Removed {
+		t.claimAddress(endpoint, now)
+	}
+	if endpoint.health() == Ready {
 		endpoint.unavailableSince.Store(0)
 	} else {
 		endpoint.markUnavailable(now)
 	}
-	return t.policyEndpoint(endpoint), true
+	return endpoint
 }
 
-// add adds an endpoint for the entry to the table. The caller sets the endpoint's field entry.
-func (t *endpointTable) add(entry Endpoint) *endpointState {
+// connect gives an endpoint the upstream for the process that the entry describes, and retires the upstream for
+// the previous process. It adds an endpoint to the table if endpoint is nil. The caller sets the field entry.
+func (t *endpointTable) connect(endpoint *endpointState, entry Endpoint) *endpointState {
+	if endpoint == nil {
+		endpoint = t.add(entry.Name)
+	} else {
+		t.addresses.release(endpoint)
+		endpoint.upstream.Retire()
+	}
+	endpoint.processEndedAt.Store(0)
+	upstream := t.newUpstream(entry)
+	endpoint.upstream = upstream
+	if detector, ok := upstream.(ProcessEndDetector); ok {
+		detector.OnProcessEnd(func() { t.onProcessEnd(endpoint, upstream) })
+	}
+	return endpoint
+}
+
+// claimAddress records that the current update reports a process of the endpoint at its address.
+func (t *endpointTable) claimAddress(endpoint *endpointState, now time.Duration) {
+	displaced := t.addresses.claim(endpoint, t.updates, now)
+	if displaced != nil {
+		slog.Info("discovery: an endpoint is listed at the address of another one", "endpoint", endpoint.entry.Name,
+			"other", displaced.entry.Name, "address", endpoint.entry.Addr)
+		t.displaced = append(t.displaced, displaced)
+	}
+}
+
+// add adds an endpoint without an upstream to the table.
+func (t *endpointTable) add(name string) *endpointState {
 	t.lastID++
-	endpoint := &endpointState{id: t.lastID, upstream: t.newUpstream(entry)}
-	t.byName[entry.Name] = endpoint
+	endpoint := &endpointState{id: t.lastID}
+	t.byName[name] = endpoint
 	t.byID[endpoint.id] = endpoint
 	return endpoint
 }
 
+// health returns the health that counts: the one of the entry, unless another process has the address.
+func (e *endpointState) health() Health {
+	if e.addressReuse == addressSuperseded && e.entry.Health == Ready {
+		return Draining
+	}
+	return e.entry.Health
+}
+
 // movedOrRestarted reports whether the entry describes another process than the one that existing
 // connections to the endpoint lead to.
 func (e *endpointState) movedOrRestarted(entry Endpoint) bool {
@@ -178,9 +259,11 @@
 		ID:        endpoint.id,
 		Zone:      t.zones.number(entry.Zone),
 		Cell:      cell,
-		Health:    entry.Health.toPolicy(),
+		Health:    endpoint.health().toPolicy(),
 		Weight:    entry.Weight,
 		StartedAt: endpoint.startedAt,
+
+		AddressReused: endpoint.addressReuse != addressUnshared,
 	}
 }
 
@@ -225,6 +308,7 @@
 func (t *endpointTable) remove(endpoint *endpointState, now time.Duration) {
 	delete(t.byName, endpoint.entry.Name)
 	delete(t.byID, endpoint.id)
+	t.addresses.release(endpoint)
 	endpoint.markUnavailable(now)
 	endpoint.upstream.Retire()
 }
--- a/internal/core/endpoint_table_test.go
+++ b/internal/core/endpoint_table_test.go
@@ -30,11 +30,11 @@
 func TestEntriesBecomePolicyEndpoints(t *testing.T) {
 	core := newTestCore(t)
 	upsert := func(entry Endpoint) policy.Endpoint {
-		endpoint, valid := core.endpoints.upsert(entry, core.now, 0)
-		if !valid {
+		endpoint := core.endpoints.upsert(entry, core.now, 0)
+		if endpoint == nil {
 			t.Fatalf("entry %+v was ignored, want a policy endpoint", entry)
 		}
-		return endpoint
+		return core.endpoints.policyEndpoint(endpoint)
 	}
 	cell := 3
 	entry := Endpoint{Name: "s-1", Addr: "127.0.0.1:7", Zone: "a", Cell: &cell, Health: Ready, Weight: 1.5}
@@ -70,11 +70,15 @@
 	core := newTestCore(t)
 	startedAt := time.Duration(time.Now().Add(-2 * time.Second).UnixNano())
 	entry := Endpoint{Name: "s-1", Addr: "127.0.0.1:7", Health: Ready, StartedAt: startedAt}
-	endpoint, valid := core.endpoints.upsert(entry, core.now, 0)
-	age := core.clock.now() - endpoint.StartedAt
-	if !valid || endpoint.StartedAt <= 0 || age < time.Second || age > peertest.WaitTimeout {
+	endpoint := core.endpoints.upsert(entry, core.now, 0)
+	if endpoint == nil {
+		t.Fatal("entry was ignored, want an endpoint")
+	}
+	startedAt = core.endpoints.policyEndpoint(endpoint).StartedAt
+	age := core.clock.now() - startedAt
+	if startedAt <= 0 || age < time.Second || age > peertest.WaitTimeout {
 		t.Errorf("got start time %v, %v ago on the Balancer's clock; want a positive time about 2 s ago",
-			endpoint.StartedAt, age)
+			startedAt, age)
 	}
 }
 
@@ -84,11 +88,14 @@
 	core := newTestCore(t)
 	startedAt := time.Duration(time.Now().Add(time.Hour).UnixNano())
 	entry := Endpoint{Name: "s-2", Addr: "127.0.0.1:7", Health: Ready, StartedAt: startedAt}
-	first, _ := core.endpoints.upsert(entry, core.now, 0)
+	startTime := func() time.Duration {
+		return core.endpoints.policyEndpoint(core.endpoints.upsert(entry, core.now, 0)).StartedAt
+	}
+	first := startTime()
 	core.now = core.clock.now() + time.Second
-	again, _ := core.endpoints.upsert(entry, core.now, 0)
-	if first.StartedAt > core.now || again.StartedAt != first.StartedAt {
+	again := startTime()
+	if first > core.now || again != first {
 		t.Errorf("start time in the future: got %v, then %v; want the same time, at most the present",
-			first.StartedAt, again.StartedAt)
+			first, again)
 	}
 }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -105,6 +105,18 @@
 	c.balancer.EndpointsUpdated(c.now, policy.FailedUpdate, nil)
 }
 
+// upstreamProcessEnded is posted by Core.processEnded.
+type upstreamProcessEnded struct {
+	endpoint *endpointState
+	upstream Upstream
+}
+
+func (e upstreamProcessEnded) handle(c *Core) {
+	if e.endpoint.upstream == e.upstream { // otherwise the list has reported another process in the meantime
+		c.balancer.ProcessEnded(c.now, e.endpoint.id)
+	}
+}
+
 // stateRequested is posted by Core.State. The channel has a buffer of one.
 type stateRequested struct{ state chan<- State }
 
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"mothridge/policy"
 )
 
 // attemptGuard holds the data that the guard and the invariant checks need about an attempt. Transports
@@ -13,10 +15,15 @@
 // and endpoints may start draining after the Balancer has decided. SendCompleted checks that the guard
 // works: it counts broken invariants (invariants.go), records the write and changes nothing else.
 type attemptGuard struct {
-	core      *Core
-	request   *Request
-	endpoint  *endpointState
-	number    int         // number of the attempt, from 0
+	core     *Core
+	request  *Request
+	endpoint *endpointState
+	number   int // number of the attempt, from 0
+
+	// needsKnownProcess reports that the attempt repeats a request that only some endpoints drop, so that it
+	// must not reach a process that may belong to another endpoint.
+	needsKnownProcess bool
+
 	prevented atomic.Bool // the prevented attempt has been counted
 }
 
@@ -30,6 +37,7 @@
 	preventClientDisconnected               // ClientDisconnected
 	preventCompleted                        // Responded
 	preventDedupWindow                      // DedupWindow
+	preventUnknownProcess                   // UnknownProcess
 	preventReasonCount
 )
 
@@ -39,6 +47,7 @@
 	ClientDisconnected uint64 `metric:"left"`     // the client has disconnected or has cancelled the request
 	Responded          uint64 `metric:"answered"` // the request already has its response
 	DedupWindow        uint64 `metric:"window"`   // the deduplication window of an earlier attempt has ended
+	UnknownProcess     uint64 `metric:"process"`  // a repeat, and the process at the address may be another endpoint's
 }
 
 // preventedCounters counts prevented attempts by preventReason.
@@ -51,6 +60,7 @@
 		ClientDisconnected: c.prevented[preventClientDisconnected].Load(),
 		Responded:          c.prevented[preventCompleted].Load(),
 		DedupWindow:        c.prevented[preventDedupWindow].Load(),
+		UnknownProcess:     c.prevented[preventUnknownProcess].Load(),
 	}
 }
 
@@ -74,7 +84,7 @@
 		return preventDedupWindow
 	}
 	if m.guard != nil {
-		if reason := m.guard.findPreventReason(); reason != notPrevented {
+		if reason := m.guard.findPreventReason(now); reason != notPrevented {
 			return reason
 		}
 	}
@@ -86,10 +96,13 @@
 
 // findPreventReason returns the reason that results from the state of the endpoint or of the request, or
 // notPrevented.
-func (g *attemptGuard) findPreventReason() preventReason {
+func (g *attemptGuard) findPreventReason(now time.Time) preventReason {
 	if g.endpoint.unavailableSince.Load() != 0 {
 		return preventDraining
 	}
+	if g.needsKnownProcess && g.processUnknown(now) {
+		return preventUnknownProcess
+	}
 	completed, clientDisconnected := g.request.history.state()
 	switch {
 	case completed && clientDisconnected:
@@ -99,3 +112,10 @@
 	}
 	return notPrevented
 }
+
+// processUnknown reports whether the process at the endpoint's address may be that of another endpoint. It
+// applies the Balancer's rule once more, because a sign may be seen after the Balancer has decided.
+func (g *attemptGuard) processUnknown(now time.Time) bool {
+	endedAt := time.Duration(g.endpoint.processEndedAt.Load())
+	return endedAt != 0 && g.core.clock.at(now) < endedAt+policy.ProcessUnknownFor
+}
--- a/internal/core/guard_test.go
+++ b/internal/core/guard_test.go
@@ -58,6 +58,27 @@
 			before:    func(_ *Core, m *Message) { m.WriteDeadline = longAgo },
 			prevented: PreventedSends{DedupWindow: 1},
 		},
+		{
+			name: "a repeat, and the process at the address has ended",
+			before: func(core *Core, m *Message) {
+				m.guard.needsKnownProcess = true
+				core.processEnded(m.guard.endpoint, m.guard.endpoint.upstream)
+			},
+			prevented: PreventedSends{UnknownProcess: 1},
+		},
+		{
+			name: "a repeat, and the process at the address ended long ago",
+			before: func(core *Core, m *Message) {
+				m.guard.needsKnownProcess = true
+				m.guard.endpoint.processEndedAt.Store(int64(core.clock.at(now) - policy.ProcessUnknownFor))
+			},
+		},
+		{
+			name: "no repeat, and the process at the address has ended",
+			before: func(core *Core, m *Message) {
+				core.processEnded(m.guard.endpoint, m.guard.endpoint.upstream)
+			},
+		},
 		{
 			name:        "not idempotent, earlier attempt may have run",
 			idempotency: policy.NotIdempotent,
--- a/internal/core/upstream.go
+++ b/internal/core/upstream.go
@@ -29,3 +29,13 @@
 	// connections for another process at the same address.
 	Retire()
 }
+
+// ProcessEndDetector is an Upstream that sees signs that its process has ended, before discovery reports the
+// end: the address refuses a connection, or an idle connection is reset.
+type ProcessEndDetector interface {
+	// OnProcessEnd sets the function to call at each sign. It is called once, before the first attempt or
+	// probe. The function may be called from any goroutine and may block while the event loop is busy, so that
+	// the caller must not hold a lock that the event loop needs. It must be called before the attempt or probe
+	// that saw the sign uses another connection.
+	OnProcessEnd(report func())
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -14,20 +14,48 @@
 // IsIdle reports whether a connection is open and has no bytes to read. IsIdle does not block,
 // even if another goroutine is blocked in a read from the connection.
 func IsIdle(conn net.Conn) bool {
-	_, err := peek(conn)
-	return errors.Is(err, syscall.EAGAIN)
+	return Inspect(conn) == Idle
 }
 
 // PeerClosed reports, without blocking, whether the peer has closed or reset the connection.
 // While the connection has unread bytes, a close by the peer is not visible.
 func PeerClosed(conn net.Conn) bool {
+	state := Inspect(conn)
+	return state == Closed || state == Reset
+}
+
+// State is what can be seen of a connection without reading from it.
+type State int
+
+// The states of a connection.
+const (
+	Idle   State = iota // open, without bytes to read
+	InUse               // there are bytes to read, or the state could not be read
+	Closed              // closed by the peer, or broken
+	Reset               // reset by the peer
+)
+
+// Inspect returns the state of a connection. It does not block. The system reports a reset only once: later
+// calls return Closed.
+func Inspect(conn net.Conn) State {
 	count, err := peek(conn)
-	if err == nil {
-		return count == 0
+	switch {
+	case err == nil && count > 0, errors.Is(err, syscall.EINTR):
+		return InUse
+	case errors.Is(err, syscall.EAGAIN):
+		return Idle
+	case errors.Is(err, syscall.ECONNRESET):
+		return Reset
 	}
-	return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	return Closed
 }
 
+// IsRefused reports whether err, from opening a connection, means that no process listens at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// IsReset reports whether err, from reading, means that the peer has reset the connection.
+func IsReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
 // peek returns how many bytes are available to read, at most 1, and the error that a read would
 // return. It does not block and leaves the bytes unread.
 func peek(conn net.Conn) (count int, err error) {
--- a/internal/transport/httpnode/connection.go
+++ b/internal/transport/httpnode/connection.go
@@ -49,11 +49,15 @@
 	return count, err
 }
 
-// isUsable reports whether an idle connection may carry a request: the connection has been idle for
-// less than idleTimeout, is open and has no unread bytes. isUsable does not block.
-func (conn *connection) isUsable(now time.Time, idleTimeout time.Duration) bool {
-	isYoung := now.Sub(conn.idleSince) < idleTimeout
-	return isYoung && conn.reader.Buffered() == 0 && sockets.IsIdle(conn.netConn)
+// checkIdle reports whether an idle connection may carry a request: the connection has been idle for less
+// than idleTimeout, is open and has no unread bytes. reset reports that the upstream has reset the connection
+// although it was not idle for longer than that. checkIdle does not block.
+func (conn *connection) checkIdle(now time.Time, idleTimeout time.Duration) (usable, reset bool) {
+	if now.Sub(conn.idleSince) >= idleTimeout {
+		return false, false
+	}
+	state := sockets.Inspect(conn.netConn)
+	return state == sockets.Idle && conn.reader.Buffered() == 0, state == sockets.Reset
 }
 
 // releaseLargeBuffer frees the request buffer if it is larger than maxKeptBufferBytes.
--- a/internal/transport/httpnode/dial.go
+++ b/internal/transport/httpnode/dial.go
@@ -19,6 +19,9 @@
 	if err != nil {
 		<-pool.slots
 		pool.dialFailures.Add(1)
+		if sockets.IsRefused(err) {
+			upstream.reportProcessEnd()
+		}
 		return nil, err
 	}
 	pool.connectionsOpened.Add(1)
--- a/internal/transport/httpnode/helpers_test.go
+++ b/internal/transport/httpnode/helpers_test.go
@@ -29,7 +29,7 @@
 }
 
 func newTestUpstream(pool *connectionPool, address string) *httpUpstream {
-	return &httpUpstream{transport: &Transport{pool: pool}, address: address}
+	return (&Transport{pool: pool}).Upstream(address).(*httpUpstream)
 }
 
 func newTestMessage() *core.Message {
--- a/internal/transport/httpnode/idle.go
+++ b/internal/transport/httpnode/idle.go
@@ -20,23 +20,33 @@
 
 // sweep closes the idle connections that can no longer be used.
 func (pool *connectionPool) sweep(now time.Time) {
-	for _, conn := range pool.removeUnusable(now) {
+	unusable, reset := pool.removeUnusable(now)
+	for _, conn := range unusable {
 		pool.closeConnection(conn)
 	}
+	for upstream := range reset {
+		upstream.reportProcessEnd()
+	}
 }
 
-// removeUnusable removes the idle connections that can no longer be used, and returns them.
-func (pool *connectionPool) removeUnusable(now time.Time) (unusable []*connection) {
+// removeUnusable removes the idle connections that can no longer be used, and returns them. It also returns
+// the upstreams that have reset an idle connection.
+func (pool *connectionPool) removeUnusable(now time.Time) (unusable []*connection, reset map[*httpUpstream]bool) {
+	reset = make(map[*httpUpstream]bool)
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
 	for upstream := range pool.upstreamsWithIdle {
 		for i := len(upstream.idle) - 1; i >= 0; i-- {
-			if !upstream.idle[i].isUsable(now, pool.idleTimeout) {
+			usable, wasReset := upstream.idle[i].checkIdle(now, pool.idleTimeout)
+			if !usable {
 				unusable = append(unusable, pool.removeIdleLocked(upstream, i))
 			}
+			if wasReset {
+				reset[upstream] = true
+			}
 		}
 	}
-	return unusable
+	return unusable, reset
 }
 
 // retire closes the idle connections to an upstream. The connections in use are closed by put.
--- a/internal/transport/httpnode/pool.go
+++ b/internal/transport/httpnode/pool.go
@@ -68,11 +68,15 @@
 			time.Sleep(delay)
 			now = time.Now()
 		}
-		if conn.isUsable(now, pool.idleTimeout) {
+		usable, reset := conn.checkIdle(now, pool.idleTimeout)
+		if usable {
 			conn.takenAt = now
 			return conn, nil
 		}
 		pool.closeConnection(conn)
+		if reset {
+			upstream.reportProcessEnd()
+		}
 	}
 }
 
--- a/internal/transport/httpnode/pool_test.go
+++ b/internal/transport/httpnode/pool_test.go
@@ -93,6 +93,56 @@
 	}
 }
 
+// An upstream that refuses a connection or resets an idle one has ended, before discovery says so. The next process
+// at its address may be that of another endpoint. An orderly close is no sign: upstreams close idle connections.
+func TestSignsThatTheProcessHasEnded(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  func(server net.Conn)
+		use  func(*testing.T, *httpUpstream)
+		want bool
+	}{
+		{"reset, found by the next request", resetConnection, func(t *testing.T, upstream *httpUpstream) {
+			upstream.transport.pool.closeConnection(getConnection(t, upstream))
+		}, true},
+		{"reset, found by the sweep", resetConnection, func(_ *testing.T, upstream *httpUpstream) {
+			upstream.transport.Sweep(time.Now())
+		}, true},
+		{"closed", func(server net.Conn) { server.Close() }, func(t *testing.T, upstream *httpUpstream) {
+			upstream.transport.pool.closeConnection(getConnection(t, upstream))
+		}, false},
+		{"refused", func(net.Conn) {}, func(t *testing.T, upstream *httpUpstream) {
+			upstream.address = "127.0.0.1:1" // no process listens on this port
+			upstream.transport.Sweep(time.Now().Add(time.Hour))
+			if _, err := upstream.transport.pool.get(t.Context(), upstream); err == nil {
+				t.Error("got a connection, want an error")
+			}
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server := peertest.NewUpstream(t, peertest.RespondWith(peertest.Response200("")))
+			upstream := newTestUpstream(newTestPool(4), server.Addr)
+			reported := false
+			upstream.OnProcessEnd(func() { reported = true })
+			conn := getConnection(t, upstream)
+			upstream.transport.pool.put(conn)
+			conn.idleSince = time.Now().Add(-reuseDelay)
+			tt.end(peertest.Await(t, "the connection", server.Accepted))
+			time.Sleep(50 * time.Millisecond) // the end of the connection arrives
+			tt.use(t, upstream)
+			if reported != tt.want {
+				t.Errorf("got process end reported %v, want %v", reported, tt.want)
+			}
+		})
+	}
+}
+
+// resetConnection closes a connection with a reset.
+func resetConnection(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
 // The pool closes an idle connection at its own idle timeout, before the upstream closes it.
 func TestPoolClosesIdleConnectionsBeforeTheUpstreamDoes(t *testing.T) {
 	server := peertest.NewUpstream(t, peertest.RespondWith(peertest.Response200("")))
--- a/internal/transport/httpnode/transport.go
+++ b/internal/transport/httpnode/transport.go
@@ -68,7 +68,7 @@
 // Upstream returns a new upstream for an address, without I/O. Upstreams never share connections, even
 // if they have the same address.
 func (transport *Transport) Upstream(address string) core.Upstream {
-	return &httpUpstream{transport: transport, address: address}
+	return &httpUpstream{transport: transport, address: address, reportProcessEnd: func() {}}
 }
 
 // Sweep closes the idle connections that can no longer be used: connections that have been idle for
--- a/internal/transport/httpnode/upstream.go
+++ b/internal/transport/httpnode/upstream.go
@@ -9,6 +9,8 @@
 	transport *Transport
 	address   string
 
+	reportProcessEnd func() // see core.ProcessEndDetector; set once, before the first exchange
+
 	// The lock of the pool guards the following fields.
 
 	idle             []*connection // sorted by idleSince, earliest first
@@ -31,3 +33,6 @@
 // Retire implements core.Upstream. Idle connections are closed immediately, connections in use are
 // closed when their exchange has ended.
 func (upstream *httpUpstream) Retire() { upstream.transport.pool.retire(upstream) }
+
+// OnProcessEnd implements core.ProcessEndDetector.
+func (upstream *httpUpstream) OnProcessEnd(report func()) { upstream.reportProcessEnd = report }
--- a/internal/transport/rpcnode/close.go
+++ b/internal/transport/rpcnode/close.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// isIdle reports whether the connection is open and no request waits for a response.
+func (conn *connection) isIdle() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.closeErr == nil && len(conn.waiting) == 0
+}
+
 // closeIfIdle closes the connection if it has been idle for idleTimeout. A connection with abandoned
 // requests is idle only when none of them can still run at the upstream.
 func (conn *connection) closeIfIdle(now time.Time, idleTimeout time.Duration) {
--- a/internal/transport/rpcnode/dial.go
+++ b/internal/transport/rpcnode/dial.go
@@ -54,6 +54,9 @@
 	netConn, err := dialer.Dial("tcp", upstream.address)
 	if err != nil {
 		<-transport.slots
+		if sockets.IsRefused(err) {
+			upstream.reportProcessEnd()
+		}
 		return nil, err
 	}
 	return newConnection(upstream, netConn), nil
--- a/internal/transport/rpcnode/transport.go
+++ b/internal/transport/rpcnode/transport.go
@@ -85,7 +85,7 @@
 // Upstream returns a new upstream for an address, without I/O. Upstreams never share connections, even
 // if they have the same address.
 func (transport *Transport) Upstream(address string) core.Upstream {
-	return &rpcUpstream{transport: transport, address: address}
+	return &rpcUpstream{transport: transport, address: address, reportProcessEnd: func() {}}
 }
 
 // Sweep closes the connections that have been idle for too long at the time now.
--- a/internal/transport/rpcnode/upstream.go
+++ b/internal/transport/rpcnode/upstream.go
@@ -22,6 +22,8 @@
 	transport *Transport
 	address   string
 
+	reportProcessEnd func() // see core.ProcessEndDetector; set once, before the first exchange
+
 	// Lock order: mu is locked before the lock of a connection and before the lock of the transport.
 	mu      sync.Mutex
 	conns   []*connection // open connections, and closed ones that are not removed yet
@@ -40,6 +42,9 @@
 	}
 }
 
+// OnProcessEnd implements core.ProcessEndDetector.
+func (upstream *rpcUpstream) OnProcessEnd(report func()) { upstream.reportProcessEnd = report }
+
 // connect returns the connection that accepts requests, or opens a new one. It blocks until a connection
 // is open, ctx is done or the dial has failed.
 func (upstream *rpcUpstream) connect(ctx context.Context) (*connection, error) {
--- a/policy/doc.go
+++ b/policy/doc.go
@@ -30,6 +30,7 @@
 //	outlier_detection.go  ejection of failing endpoints, and their trial requests
 //	guard.go              the rules that every attempt must satisfy
 //	retry.go              whether a request is retried, and the response if it is not
+//	process_identity.go   whether the process at an endpoint's address is known to be the endpoint's
 //	request.go            the state of a request and its attempts
 //	endpoint_list.go      watch requests, updates of the endpoint list, state of an endpoint
 //	weights.go            sums of the endpoints' weights
--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -43,6 +43,8 @@
 	lastSuccessAt          time.Duration // time of the last served attempt or reported restart
 	nextTrialAt            time.Duration // earliest time of the next trial request
 
+	processUnknownUntil time.Duration // until then the process at the address may be that of another endpoint
+
 	slowStartEndsAt     time.Duration // time at which slow start ends
 	nextSlowStartSendAt time.Duration // earliest time of the next attempt in slow start
 
@@ -98,6 +100,7 @@
 		endpoint.slowStartEndsAt = max(endpoint.slowStartEndsAt, entry.StartedAt+b.cfg.SlowStartDuration)
 		endpoint.ejected = false
 		endpoint.clearFailures(now)
+		endpoint.processUnknownUntil = 0 // the list has named the process that started
 		b.justStarted = append(b.justStarted, endpoint)
 	}
 	b.weights.add(endpoint)
--- a/policy/events.go
+++ b/policy/events.go
@@ -89,6 +89,10 @@
 	Health    Health
 	Weight    float64       // size relative to other endpoints; counts as 1 unless finite and above 0
 	StartedAt time.Duration // time of the last start, on the balancer's clock; 0 means long ago
+
+	// AddressReused reports that another endpoint is, or was, listed at the same address, so that attempts at
+	// this endpoint may have reached the process of the other one.
+	AddressReused bool
 }
 
 // UpdateKind is how the entries of an update apply to the endpoint list.
--- a/policy/guard.go
+++ b/policy/guard.go
@@ -34,7 +34,8 @@
 		endpoint.nextSlowStartSendAt = now + b.slowStartInterval(now, endpoint)
 	}
 	writeWithin := request.remainingDedupWindow(now)
-	request.attempts = append(request.attempts, attempt{endpoint: endpoint, startedAt: now})
+	started := attempt{endpoint: endpoint, group: endpoint.dedupGroup(), startedAt: now}
+	request.attempts = append(request.attempts, started)
 	request.inFlight++
 	request.bulkhead.inUse++
 	endpoint.inFlight++
--- a/policy/request.go
+++ b/policy/request.go
@@ -45,6 +45,7 @@
 // attempt is one attempt of a request.
 type attempt struct {
 	endpoint  *endpointState
+	group     dedupGroup // of the endpoint when the attempt was started
 	startedAt time.Duration
 	ended     bool
 	neverRan  bool // its result proves that the endpoint did not run the request
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -38,13 +38,13 @@
 // mayRunAgain reports whether a further attempt is allowed now at some endpoint.
 func (r *requestState) mayRunAgain(now time.Duration) bool {
 	first := r.firstAttemptThatMayHaveRun()
-	return first == nil || r.class.repeatIsSafe(now, first)
+	return first == nil || r.class.repeatIsSafe(now, first) && r.class.knowsDedupGroup(now, first)
 }
 
 // mayRunAgainAt reports whether a further attempt is allowed now at this endpoint.
 func (r *requestState) mayRunAgainAt(now time.Duration, endpoint *endpointState) bool {
 	first := r.firstAttemptThatMayHaveRun()
-	return first == nil || r.class.repeatIsSafe(now, first) && r.class.dropsRepeat(endpoint, first.endpoint)
+	return first == nil || r.class.repeatIsSafe(now, first) && r.class.dropsRepeat(now, endpoint, first)
 }
 
 // repeatIsSafe reports whether a request may be sent again after an attempt that may have run.
@@ -59,14 +59,17 @@
 	}
 }
 
-// dropsRepeat reports whether an endpoint drops a request that has run at another endpoint, or need not drop
-// it because the request is idempotent.
-func (c *classState) dropsRepeat(endpoint, other *endpointState) bool {
-	if c.Idempotency == Idempotent || c.DedupScope == ScopeAll {
+// dropsRepeat reports whether an endpoint drops a request that may have run in an earlier attempt, or need
+// not drop it because the request is idempotent.
+func (c *classState) dropsRepeat(now time.Duration, endpoint *endpointState, first *attempt) bool {
+	if !c.hasDedupGroups() {
 		return true
 	}
-	sameZone := endpoint.Zone == other.Zone
-	return sameZone && (c.DedupScope == ScopeZone || endpoint.Cell == other.Cell)
+	if endpoint.processUnknown(now) || first.endpoint.processUnknown(now) {
+		return false
+	}
+	group := endpoint.dedupGroup()
+	return group.zone == first.group.zone && (c.DedupScope == ScopeZone || group.cell == first.group.cell)
 }
 
 // remainingDedupWindow returns the remaining time during which endpoints drop a repeat of the request. It
