--- a/internal/hook/state.go
+++ b/internal/hook/state.go
@@ -12,7 +12,8 @@
 // isMap reports whether a state is a map. Otherwise it is a counter.
 func (s *State) isMap() bool { return s.MaxEntries > 0 }
 
-// The bounds of the state of a program. They limit the size of a map to about 3 MB.
+// The bounds of the state of a program. They limit the size of a map to about 3 MB. The caller of Machine.Run may
+// bound the memory of all maps further.
 const (
 	MaxStates   = 16
 	MaxEntries  = 10_000
--- a/internal/plugin/gate.go
+++ b/internal/plugin/gate.go
@@ -16,6 +16,9 @@
 	Classes []string // names, indexed by core.Request.Class
 	Tenants []string // names, indexed by core.Request.Tenant; empty if there is one tenant without a name
 	Specs   []Spec   // in the order in which the plug-ins run
+	// StateBytes bounds the memory of the maps of all plug-ins; 0 means no bound. Plug-ins that declare maps have
+	// even parts of it, so that none can take the state of another.
+	StateBytes int64
 	// Now returns the time of an event; nil means time.Now.
 	Now func() time.Time
 }
@@ -96,10 +99,24 @@
 		}
 		loaded.add(p)
 	}
+	loaded.declareStates(g.cfg.StateBytes)
 	g.plugins.Store(loaded)
 	return nil
 }
 
+// declareStates prepares the states of the plug-ins, whose maps share totalBytes of memory; 0 means no bound.
+func (s *pluginSet) declareStates(totalBytes int64) {
+	withMaps := int64(0)
+	for _, p := range s.all {
+		if p.hasMaps() {
+			withMaps++
+		}
+	}
+	for _, p := range s.all {
+		p.declareState(totalBytes / max(withMaps, 1))
+	}
+}
+
 // checkNames returns an error if a manifest contains the name of a tenant or class that does not exist.
 func (g *Gate) checkNames(spec Spec) error {
 	for _, tenant := range spec.Tenants {
@@ -118,12 +135,13 @@
 // SetNext sets the handler after the plug-ins. It must be called before the first Submit.
 func (g *Gate) SetNext(next core.Handler) { g.Handler = next }
 
-// Plugins calls each for every loaded plug-in, with the name, the state of the circuit breaker, the counts
-// of runs and the counters that the program itself increments.
-func (g *Gate) Plugins(each func(name, state string, c Counts, programCounters map[string]uint64)) {
+// Plugins returns the status of each loaded plug-in, in the order in which the plug-ins run.
+func (g *Gate) Plugins() []Status {
+	var statuses []Status
 	for _, p := range g.plugins.Load().all {
-		each(p.spec.Name, p.breakerState(), p.Counts(), p.ProgramCounters())
+		statuses = append(statuses, p.status())
 	}
+	return statuses
 }
 
 // DroppedOutcomes returns how many outcomes were dropped because the queue was full.
--- a/internal/plugin/plugin.go
+++ b/internal/plugin/plugin.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,24 +29,35 @@
 	Skipped   uint64 // events without a run because the circuit breaker was open
 }
 
+// Status describes a loaded plug-in.
+type Status struct {
+	Name            string
+	Breaker         string // state of the circuit breaker
+	Counts          Counts
+	ProgramCounters map[string]uint64 // counters that the program increments, by name
+	StateBytes      int64             // memory of the entries of its maps
+	StateEvicted    uint64            // entries of its maps that were removed to keep within the memory limit
+}
+
 // Plugin is a loaded plug-in. Its methods may be called from any goroutine.
 type Plugin struct {
 	spec      Spec
 	program   *hook.Program
 	state     *sharedState
-	startedAt time.Time // origin of the breaker's times and of nextLogAt
+	startedAt time.Time // origin of the breaker's times and of the times of log lines
 
-	mu        sync.Mutex // guards breaker, counters and nextLogAt
-	breaker   *breaker.Breaker
-	counters  map[string]uint64 // counters that the program increments, by name
-	nextLogAt time.Duration     // earliest time of the next log line
+	mu                sync.Mutex // guards the following fields
+	breaker           *breaker.Breaker
+	counters          map[string]uint64 // counters that the program increments, by name
+	nextLogAt         time.Duration     // earliest time of the next log line about a failure
+	nextEvictionLogAt time.Duration     // earliest time of the next log line about evicted entries
 
 	// The fields of Counts.
 	runs, rejected, failed, exhausted, denied, skipped atomic.Uint64
 }
 
-// load reads and compiles a plug-in. Its state is a copy of the state of the plug-in that it replaces, if
-// replaced is not nil.
+// load reads and compiles a plug-in. It uses the state of the plug-in that it replaces, if replaced is not nil,
+// but does not change that state: see declareState.
 func load(spec Spec, replaced *Plugin) (*Plugin, error) {
 	program, err := hook.Load(spec.File)
 	if err != nil {
@@ -56,20 +68,42 @@
 			return nil, fmt.Errorf("plug-in %q: %s has no hook \"on %s\"", spec.Name, spec.File, kind)
 		}
 	}
-	var oldState *sharedState
+	state := newSharedState()
 	if replaced != nil {
-		oldState = replaced.state
+		state = replaced.state
 	}
 	return &Plugin{
 		spec:      spec.withDefaults(),
 		program:   program,
-		state:     newSharedState(program.States, oldState),
+		state:     state,
 		startedAt: time.Now(),
 		breaker:   breaker.New(breaker.Config{}),
 		counters:  make(map[string]uint64),
 	}, nil
 }
 
+// hasMaps reports whether the program declares a map.
+func (p *Plugin) hasMaps() bool {
+	return slices.ContainsFunc(p.program.States, func(s hook.State) bool { return nameOf(s).isMap })
+}
+
+// declareState prepares the state for the program. The memory of its maps is bounded by maxBytes; 0 means no
+// bound.
+func (p *Plugin) declareState(maxBytes int64) { p.state.declare(p.program.States, maxBytes) }
+
+// status returns the plug-in's status.
+func (p *Plugin) status() Status {
+	bytes, evicted := p.state.usage()
+	return Status{
+		Name:            p.spec.Name,
+		Breaker:         p.breakerState(),
+		Counts:          p.Counts(),
+		ProgramCounters: p.ProgramCounters(),
+		StateBytes:      bytes,
+		StateEvicted:    evicted,
+	}
+}
+
 // runsFor reports whether the plug-in runs for a kind of event.
 func (p *Plugin) runsFor(kind string) bool {
 	isEnabled := len(p.spec.Hooks) == 0 || slices.Contains(p.spec.Hooks, kind)
@@ -105,6 +139,9 @@
 	if !known && !fits {
 		return denied("the count %.40q: %d names of up to 64 bytes are kept", name, maxCounters)
 	}
+	if !known {
+		name = strings.Clone(name) // the name may be a part of a much longer text, which must not be kept
+	}
 	p.counters[name]++
 	return nil
 }
--- a/internal/plugin/plugin_test.go
+++ b/internal/plugin/plugin_test.go
@@ -278,7 +278,8 @@
 	for seed := range uint64(100) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		declaration := hook.State{Name: "m", MaxEntries: 1 + rng.IntN(6), MaxAge: time.Minute}
-		state := newSharedState([]hook.State{declaration}, nil)
+		state := newSharedState()
+		state.declare([]hook.State{declaration}, 0)
 		type modelEntry struct {
 			key     string
 			amount  int64
@@ -326,7 +327,7 @@
 				v.commit()
 			}
 			if rng.IntN(10) == 0 { // reload
-				state = newSharedState([]hook.State{declaration}, state)
+				state.declare([]hook.State{declaration}, 0)
 			}
 			reader := &stateView{shared: state, declarations: []hook.State{declaration}, now: now}
 			for c := 'a'; c < 'i'; c++ {
--- a/internal/plugin/run.go
+++ b/internal/plugin/run.go
@@ -113,6 +113,24 @@
 	if err := applyEffects(result.Effects); err != nil {
 		return err
 	}
-	w.view.commit()
+	if w.view.commit() > 0 {
+		p.logEviction()
+	}
 	return nil
 }
+
+// logEviction reports at most once in logInterval that entries of the state do not fit into the memory limit.
+func (p *Plugin) logEviction() {
+	now := time.Since(p.startedAt)
+	p.mu.Lock()
+	shouldLog := now >= p.nextEvictionLogAt
+	if shouldLog {
+		p.nextEvictionLogAt = now + logInterval
+	}
+	p.mu.Unlock()
+	if shouldLog {
+		bytes, evicted := p.state.usage()
+		slog.Warn("plug-in state is at its memory limit; removing the entries that were updated least recently",
+			"plugin", p.spec.Name, "bytes", bytes, "evicted", evicted)
+	}
+}
--- a/internal/plugin/state_view.go
+++ b/internal/plugin/state_view.go
@@ -31,12 +31,12 @@
 	v.changes = v.changes[:0]
 }
 
-// table returns the shared table of a declaration.
-func (v *stateView) table(state int) *table { return v.shared.tables[v.declarations[state].Name] }
+// table returns the name of the shared table of a declaration.
+func (v *stateView) table(state int) tableName { return nameOf(v.declarations[state]) }
 
 // Value returns the sum of an entry, including the run's pending changes.
 func (v *stateView) Value(state int, key string) int64 {
-	n := v.sharedValue(state, key)
+	n := v.shared.value(v.table(state), key, v.now)
 	for _, c := range v.changes {
 		switch {
 		case c.state != state || c.key != key:
@@ -49,13 +49,6 @@
 	return n
 }
 
-// sharedValue returns the sum of an entry without the run's pending changes.
-func (v *stateView) sharedValue(state int, key string) int64 {
-	v.shared.mu.Lock()
-	defer v.shared.mu.Unlock()
-	return v.table(state).value(key, v.now)
-}
-
 // Add records the addition of n to an entry and returns the new sum, as Value does.
 func (v *stateView) Add(state int, key string, n int64) int64 {
 	v.changes = append(v.changes, change{state: state, key: key, n: n})
@@ -67,18 +60,21 @@
 	v.changes = append(v.changes, change{state: state, key: key, isRemoval: true})
 }
 
-// commit applies all pending changes to the shared state atomically.
-func (v *stateView) commit() {
+// commit applies all pending changes to the shared state atomically. It returns how many entries were removed to
+// keep within the memory limit.
+func (v *stateView) commit() (evicted uint64) {
 	if len(v.changes) == 0 {
-		return
+		return 0
 	}
 	v.shared.mu.Lock()
 	defer v.shared.mu.Unlock()
+	before := v.shared.evicted
 	for _, c := range v.changes {
 		if c.isRemoval {
-			v.table(c.state).removeKey(c.key)
+			v.shared.removeLocked(v.table(c.state), c.key)
 		} else {
-			v.table(c.state).add(c.key, c.n, v.now)
+			v.shared.addLocked(v.table(c.state), c.key, c.n, v.now)
 		}
 	}
+	return v.shared.evicted - before
 }
--- a/internal/plugin/trial.go
+++ b/internal/plugin/trial.go
@@ -17,9 +17,11 @@
 
 // NewTrial returns a Trial with an empty state. Limits of 0 are replaced by their defaults.
 func NewTrial(program *hook.Program, limits hook.Limits) *Trial {
+	state := newSharedState()
+	state.declare(program.States, 0)
 	return &Trial{
 		program: program,
-		state:   newSharedState(program.States, nil),
+		state:   state,
 		limits:  limitsOrDefaults(limits),
 	}
 }
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -56,6 +56,17 @@
 	return frontend.NewRequestMemory(l.RuntimeBytes() / requestMemoryShare)
 }
 
+// pluginStateShare is the share of the runtime's memory that the maps of all plug-ins may hold: an eighth.
+const pluginStateShare = 8
+
+// pluginStateBytes returns the memory of the maps of all plug-ins in bytes, 0 if it is unlimited.
+func (l Limits) pluginStateBytes() int64 {
+	if l.MemoryMB <= 0 {
+		return 0
+	}
+	return l.RuntimeBytes() / pluginStateShare
+}
+
 const (
 	// bytesPerInstance is the memory for one endpoint in all packages together, including the peak while
 	// the list is read for the first time (docs/benchmarks.md).
--- a/internal/sidecar/plugins.go
+++ b/internal/sidecar/plugins.go
@@ -19,6 +19,8 @@
 		Classes: s.config.Classes,
 		Tenants: s.config.Tenants,
 		Specs:   pluginSpecs(&s.config.Operator),
+
+		StateBytes: s.config.Limits.pluginStateBytes(),
 	})
 	if err != nil {
 		return err
@@ -34,13 +36,16 @@
 
 // collectPlugins adds the plug-ins' counters and states to a scrape.
 func collectPlugins(scrape *metrics.Scrape, gate *plugin.Gate) {
-	gate.Plugins(func(name, state string, counts plugin.Counts, programCounters map[string]uint64) {
-		scrape.Counters("plugin_total", "Runs of a plug-in, by event.", "event", counts, "plugin", name)
-		scrape.Gauge("plugin_suspended", "Whether a plug-in is suspended for exhausting its budget (1) or not (0).", suspended(state), "plugin", name)
-		for n, count := range programCounters {
+	for _, status := range gate.Plugins() {
+		name := status.Name
+		scrape.Counters("plugin_total", "Runs of a plug-in, by event.", "event", status.Counts, "plugin", name)
+		scrape.Gauge("plugin_suspended", "Whether a plug-in is suspended for exhausting its budget (1) or not (0).", suspended(status.Breaker), "plugin", name)
+		scrape.Gauge("plugin_state_bytes", "Memory of the maps that a plug-in keeps.", float64(status.StateBytes), "plugin", name)
+		scrape.Counter("plugin_state_evicted_total", "Entries of a plug-in's maps removed to keep within the memory limit.", float64(status.StateEvicted), "plugin", name)
+		for n, count := range status.ProgramCounters {
 			scrape.Gauge("plugin_counts", "Counters that a plug-in maintains itself.", float64(count), "plugin", name, "count", n)
 		}
-	})
+	}
 	scrape.Gauge("plugin_outcomes_dropped", "Outcomes whose hooks did not run because too many outcomes were queued.", float64(gate.DroppedOutcomes()))
 }
 
