Whole requests do not make way for new connections

Cause: at the bound connections made way by the clock alone. A whole request in the kernel, or read and not handled yet, counted as unfinished after 0.2 s; a request that waited for memory too; over MessagePack-RPC a new connection counted as idle at once. Change: a connection makes way only if nothing is unread and its bytes end in the middle of a request; a request that waits for memory is rejected; what is closed as idle has nothing unread, on both front ends. Why it works: the check is made under the lock with which bytes are read.

--- a/internal/front/frontend/memory.go
+++ b/internal/front/frontend/memory.go
@@ -96,6 +96,20 @@
 	return err == nil && !account.closed
 }
 
+// EndWait ends a wait of Add as its timeout does, and reports whether Add was waiting.
+func (account *MemoryAccount) EndWait() bool {
+	if account == nil {
+		return false
+	}
+	account.mu.Lock()
+	defer account.mu.Unlock()
+	if account.cancelWait == nil {
+		return false
+	}
+	account.cancelWait()
+	return true
+}
+
 // Remove takes back a charge of bytes.
 func (account *MemoryAccount) Remove(bytes int64) {
 	if account == nil || bytes == 0 {
--- a/internal/front/httpfront/close.go
+++ b/internal/front/httpfront/close.go
@@ -28,25 +28,25 @@
 	maxLingerBytes = 4 * maxReadAheadBytes
 )
 
-// closeIdle closes the connection if it is open and no request has started on it. closeIdle
-// reports whether it closed the connection.
+// closeIdle closes the connection if it is open and no request has started on it. The bytes of a request
+// may still be unread. closeIdle reports whether it closed the connection.
 func (conn *clientConn) closeIdle(linger time.Duration, reason closeReason) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if !conn.isIdleLocked() {
+	if !conn.isIdleLocked() || sockets.Inspect(conn.TCPConn) == sockets.InUse {
 		return false
 	}
 	conn.closeLocked(linger, reason)
 	return true
 }
 
-// closeUnfinished closes the connection at once, even if a request has started on it, unless a
-// request is being served or the connection is already closed. closeUnfinished reports whether it
-// closed the connection.
+// closeUnfinished closes the connection at once, even if a request has started on it, unless a whole
+// request was received or the connection is already closed. closeUnfinished reports whether it closed the
+// connection.
 func (conn *clientConn) closeUnfinished() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.state != connReading {
+	if conn.state != connReading || !conn.awaitsClientLocked() {
 		return false
 	}
 	conn.closeLocked(0, closedUnfinished) // no response can be in transit
--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -67,6 +67,7 @@
 	// requestStartedAt is when the first byte of the current request was received; zero if no
 	// request is being read.
 	requestStartedAt time.Time
+	unparsed         bool // bytes were read that framing has not parsed yet
 	closeReason      closeReason
 }
 
--- a/internal/front/httpfront/evict.go
+++ b/internal/front/httpfront/evict.go
@@ -7,7 +7,7 @@
 	"mothridge/internal/front/frontend"
 )
 
-// evictUnfinishedAfter is how long a request may be read before its connection may be evicted.
+// evictUnfinishedAfter is how long a client may take to send a request before its connection may be evicted.
 const evictUnfinishedAfter = 200 * time.Millisecond
 
 // evictionResult is the result of an attempt to evict a connection.
@@ -47,9 +47,9 @@
 // such connection, evictLocked chooses the connection that has been idle for the longest time: the
 // client of an idle connection does not treat an orderly close as a failure.
 func (listener *limitedListener) evictLocked(now time.Time) evictionResult {
-	conn, retrySoon := listener.takeUnfinishedLocked(now)
-	if conn != nil {
-		return listener.recordEvictionLocked(conn, conn.closeUnfinished())
+	closing, retrySoon := listener.closeUnfinishedLocked(now)
+	if closing {
+		return evicted
 	}
 	if retrySoon { // idle connections, which were used recently, are kept until this is decided
 		return candidateSoon
@@ -57,26 +57,30 @@
 	if len(listener.idle) == 0 {
 		return noCandidate
 	}
-	conn = listener.idle[0]
+	conn := listener.idle[0]
 	listener.idle = slices.Delete(listener.idle, 0, 1)
 	return listener.recordEvictionLocked(conn, conn.closeIdle(evictionLingerTimeout, closedIdle))
 }
 
-// takeUnfinishedLocked removes, from the active connections, the oldest one that is silent or has
-// been reading a request for too long. If there is none, retrySoon reports whether a connection may
-// soon become silent or exceed that time.
-func (listener *limitedListener) takeUnfinishedLocked(now time.Time) (conn *clientConn, retrySoon bool) {
+// closeUnfinishedLocked closes the oldest active connection whose client has sent nothing, or has not sent the rest of
+// its request, for too long. If there is none, retrySoon reports whether there may soon be one.
+func (listener *limitedListener) closeUnfinishedLocked(now time.Time) (closing, retrySoon bool) {
 	for i, conn := range listener.active {
 		if !conn.isReading() {
 			continue
 		}
-		if conn.isSilent(now) || now.Sub(conn.stateChangedAt) >= evictUnfinishedAfter {
+		retrySoon = true
+		overdue := now.Sub(conn.stateChangedAt) >= evictUnfinishedAfter
+		if (overdue || conn.isSilent(now)) && conn.closeUnfinished() {
 			listener.active = slices.Delete(listener.active, i, i+1)
-			return conn, false
+			listener.recordEvictionLocked(conn, true)
+			return true, false
+		}
+		if overdue && conn.memory.EndWait() { // the request is rejected now, and its connection closed
+			return false, true
 		}
-		retrySoon = true
 	}
-	return nil, retrySoon
+	return false, retrySoon
 }
 
 func (listener *limitedListener) recordEvictionLocked(conn *clientConn, closing bool) evictionResult {
--- a/internal/front/httpfront/evict_test.go
+++ b/internal/front/httpfront/evict_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"mothridge/internal/front/frontend"
 	"mothridge/internal/peers/peertest"
 )
 
@@ -64,3 +67,26 @@
 	}
 	close(handler.release)
 }
+
+// Guards against a whole request that gets no answer because it waits for memory at the connection limit: its
+// connection made way for a new one. It must be rejected, so that its client may retry.
+func TestRequestThatWaitsForMemoryIsAnsweredAtTheLimit(t *testing.T) {
+	const bodyBytes = 60 << 10
+	config := testConfig
+	config.MaxConnections = 2
+	config.Memory = frontend.NewRequestMemory(56 << 10)
+	handler := newBlockingHandler()
+	_, address := startFront(t, config, handler)
+	sized := fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)
+	body := strings.Repeat("b", bodyBytes)
+	first := sendText(t, address, requestText("first", sized, body))
+	peertest.Await(t, "the first request", handler.submitted)
+	waiting := sendText(t, address, requestText("waiting", sized, body))
+	time.Sleep(50 * time.Millisecond) // the second request begins to wait for memory
+	third := sendText(t, address, requestText("third", "Content-Length: 0\r\n", ""))
+	expectStatus(t, "the request that waits for memory", waiting, http.StatusServiceUnavailable)
+	peertest.Await(t, "the request of the new connection", handler.submitted)
+	close(handler.release)
+	expectServed(t, first, false)
+	expectServed(t, third, false)
+}
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -56,6 +56,7 @@
 	}
 	if count > 0 {
 		conn.framing.Observe(buffer[:count])
+		conn.onParsed()
 		conn.recordArrival(time.Now())
 	}
 	if isPeerError(err) {
@@ -77,9 +78,27 @@
 		conn.requestStartedAt = time.Now()
 		conn.requestStarted = true
 	}
+	conn.unparsed = count > 0
 	return conn.state != connClosed
 }
 
+// onParsed records that framing has parsed all bytes that were read.
+func (conn *clientConn) onParsed() {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.unparsed = false
+}
+
+// awaitsClientLocked reports whether only the client can make progress: nothing is unread, and the bytes that were
+// received, if any, end in the middle of a request. If the process was paused or has little processor time, it may not
+// have read or handled a whole request for some time, which says nothing about the client. The caller holds conn.mu.
+func (conn *clientConn) awaitsClientLocked() bool {
+	if conn.unparsed || sockets.Inspect(conn.TCPConn) == sockets.InUse {
+		return false
+	}
+	return !conn.hasRead.Load() || conn.framing.MidMessage()
+}
+
 // isIdleLocked reports whether the connection is open and no byte has been received since the last
 // response, if any. The caller holds conn.mu.
 func (conn *clientConn) isIdleLocked() bool {
--- a/internal/front/rpcfront/close.go
+++ b/internal/front/rpcfront/close.go
@@ -9,15 +9,21 @@
 // maxLingerBytes is the maximum number of bytes read from a connection while it is being closed.
 const maxLingerBytes = 4 * msgrpc.MaxRequestBytes
 
-// closeIdle closes the connection if it is idle. From then on, no request that arrives on the
-// connection is submitted, so the client may safely send the request again on another connection.
-func (conn *clientConn) closeIdle() {
+// closeIdle closes the connection if it is idle and nothing that the client has sent is unread. From then
+// on, no request that arrives on the connection is submitted, so the client may safely send the request again on
+// another connection. closeIdle reports whether the connection is closed.
+func (conn *clientConn) closeIdle() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.isIdleLocked() {
-		conn.state = connClosed
-		conn.signalWriter()
+	if conn.state == connClosed {
+		return true
 	}
+	if !conn.isIdleLocked() || sockets.Inspect(conn.netConn) == sockets.InUse {
+		return false
+	}
+	conn.state = connClosed
+	conn.signalWriter()
+	return true
 }
 
 // abandonRequests closes the connection and abandons its requests in flight. It is called when the
--- a/internal/front/rpcfront/connection.go
+++ b/internal/front/rpcfront/connection.go
@@ -87,11 +87,18 @@
 	return nothingInFlight && nothingToWrite
 }
 
-// idleTime returns the time since which the connection has been idle; idle is false if it is not idle.
-func (conn *clientConn) idleTime() (since time.Time, idle bool) {
+// idleTime returns the time since which the connection has been idle; idle is false if it is not idle, or if it
+// is new and the client has not had the time to send its first message.
+func (conn *clientConn) idleTime(now time.Time) (since time.Time, idle bool) {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	return conn.idleSince, conn.isIdleLocked()
+	return conn.idleSince, conn.isIdleLocked() && conn.graceElapsedLocked(now)
+}
+
+// graceElapsedLocked reports whether the client has sent something, or had the time for it. The caller holds
+// conn.mu.
+func (conn *clientConn) graceElapsedLocked(now time.Time) bool {
+	return conn.hasRead || now.Sub(conn.acceptedAt) >= frontend.FirstByteGrace
 }
 
 // beginRequest records a request as in flight. It returns false if the connection was closed. The
--- a/internal/front/rpcfront/drain.go
+++ b/internal/front/rpcfront/drain.go
@@ -89,8 +89,7 @@
 // connection whose first message may still be in transit.
 func (conn *clientConn) finishWhenIdle(now time.Time) {
 	conn.mu.Lock()
-	graceElapsed := conn.hasRead || now.Sub(conn.acceptedAt) >= frontend.FirstByteGrace
-	if conn.state == connOpen && graceElapsed {
+	if conn.state == connOpen && conn.graceElapsedLocked(now) {
 		conn.state = connFinishing
 	}
 	conn.mu.Unlock()
--- a/internal/front/rpcfront/evict.go
+++ b/internal/front/rpcfront/evict.go
@@ -1,6 +1,9 @@
 package rpcfront
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // evictionInterval is the interval at which awaitCapacity looks for an idle connection while a new one
 // waits. It polls because a connection does not signal that it has become idle.
@@ -34,24 +37,31 @@
 		return nil, false
 	}
 	connEnded = front.connEnded
-	longestIdle := front.longestIdleLocked()
+	idle := front.idleLocked(time.Now())
 	front.mu.Unlock()
-	if longestIdle != nil {
-		longestIdle.closeIdle()
+	for _, candidate := range idle {
+		if candidate.conn.closeIdle() {
+			break
+		}
 	}
 	return connEnded, true
 }
 
-// longestIdleLocked returns the connection that has been idle for the longest time, or nil if no
-// connection is idle. The caller holds front.mu.
-func (front *Front) longestIdleLocked() *clientConn {
-	var longestIdle *clientConn
-	var earliest time.Time
+// idleConn is a connection that is idle since a time.
+type idleConn struct {
+	conn  *clientConn
+	since time.Time
+}
+
+// idleLocked returns the idle connections, longest idle first. New connections whose first message may still be
+// in transit are not among them. The caller holds front.mu.
+func (front *Front) idleLocked(now time.Time) []idleConn {
+	var idle []idleConn
 	for conn := range front.conns {
-		since, idle := conn.idleTime()
-		if idle && (longestIdle == nil || since.Before(earliest)) {
-			longestIdle, earliest = conn, since
+		if since, isIdle := conn.idleTime(now); isIdle {
+			idle = append(idle, idleConn{conn, since})
 		}
 	}
-	return longestIdle
+	slices.SortFunc(idle, func(a, b idleConn) int { return a.since.Compare(b.since) })
+	return idle
 }
