Requests that arrive while the process is paused are read after their read timeout

Callers saw: over HTTP/1.1 a connection closed with no answer, though the request was sent whole within its time, after a pause of 2 s and more. Cause: Go's poller reports a passed read deadline before it looks for bytes, so that the timeout counted the time in which the process did not run. Change: sockets.LockedReader reads once more after its deadline, without waiting. Why it works: a late client has nothing to read then.

--- a/cmd/sidecar/paused_process_test.go
+++ b/cmd/sidecar/paused_process_test.go
@@ -160,3 +160,39 @@
 	}
 	return conn
 }
+
+// Guards against requests that get no answer because a read timeout has passed by the clock while the process was
+// paused: their bytes had arrived in time and waited in the kernel.
+func TestPausedProcessReadsWhatArrivedInTime(t *testing.T) {
+	const longPause = 2700 * time.Millisecond // longer than all read timeouts of the front ends
+	path := buildProgram(t)
+	for _, protocol := range clientProtocols {
+		for name, before := range map[string]int{"nothing sent before": 0, "half sent before": 20} {
+			t.Run(protocol.name+", "+name, func(t *testing.T) {
+				t.Parallel()
+				program := startPausable(t, path, 256)
+				var conns []net.Conn
+				for range 15 { // fewer than the bound
+					conns = append(conns, dialUntilOpen(t, program.addresses[protocol.name]))
+				}
+				encoded := func(i int) []byte { return protocol.request(fmt.Sprint("r-", i)) }
+				for i, conn := range conns {
+					conn.Write(encoded(i)[:before])
+				}
+				time.Sleep(100 * time.Millisecond) // the connections are accepted, and what was sent is read
+				program.command.Process.Signal(syscall.SIGSTOP)
+				for i, conn := range conns {
+					conn.Write(encoded(i)[before:])
+				}
+				time.Sleep(longPause)
+				program.command.Process.Signal(syscall.SIGCONT)
+				for i, conn := range conns {
+					conn.SetReadDeadline(time.Now().Add(pausedRequestTimeout))
+					if err := protocol.read(bufio.NewReader(conn)); err != nil {
+						t.Errorf("request %d: got error %v, want a response", i, err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/sockets/locked_reader.go
+++ b/internal/sockets/locked_reader.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -35,8 +36,8 @@
 	return reader
 }
 
-// Read reads the available bytes. If there are none, Read blocks until bytes arrive or the
-// connection's read deadline passes.
+// Read reads the available bytes. If there are none, Read blocks until bytes arrive or the connection's read deadline
+// passes. Bytes that arrived before the process has noticed the deadline are read after it.
 func (reader *LockedReader) Read(buffer []byte) (int, error) {
 	var count int
 	var accepted bool
@@ -63,7 +64,7 @@
 // readRaw reads from the descriptor and reports the read, both while holding the lock.
 func (reader *LockedReader) readRaw(buffer []byte) (count int, accepted bool, err error) {
 	accepted = true
-	waitErr := reader.raw.Read(func(descriptor uintptr) (done bool) {
+	readAvailable := func(descriptor uintptr) (done bool) {
 		reader.lock.Lock()
 		defer reader.lock.Unlock()
 		count, err = readNonblocking(int(descriptor), buffer)
@@ -72,7 +73,11 @@
 		}
 		accepted = reader.onRead(count)
 		return true
-	})
+	}
+	waitErr := reader.raw.Read(readAvailable)
+	if errors.Is(waitErr, os.ErrDeadlineExceeded) {
+		waitErr = reader.readAfterDeadline(readAvailable, waitErr)
+	}
 	switch {
 	case waitErr != nil:
 		return 0, accepted, waitErr
@@ -82,6 +87,17 @@
 	return count, accepted, err
 }
 
+// readAfterDeadline calls readAvailable once, and returns the error of the wait if there are no bytes. If the process was
+// paused, the deadline may have passed while whole requests waited in the kernel.
+func (reader *LockedReader) readAfterDeadline(readAvailable func(uintptr) bool, waitErr error) error {
+	read := false
+	controlErr := reader.raw.Control(func(descriptor uintptr) { read = readAvailable(descriptor) })
+	if controlErr != nil || !read {
+		return waitErr
+	}
+	return nil
+}
+
 // readNonblocking reads the available bytes; it returns EAGAIN if there are none.
 func readNonblocking(descriptor int, buffer []byte) (int, error) {
 	for {
