One rule for both front ends on when only the client can make progress

Cause: the check before a connection makes way asked HTTP's framing, which MessagePack-RPC does not have, and needed a flag beside it. Change: sockets.LockedReader says whether it waits for bytes; what was read has been handled then. No behaviour changes otherwise.

--- a/internal/front/httpfront/close.go
+++ b/internal/front/httpfront/close.go
@@ -46,7 +46,7 @@
 func (conn *clientConn) closeUnfinished() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.state != connReading || !conn.awaitsClientLocked() {
+	if conn.state != connReading || !conn.reader.AwaitsPeerLocked() {
 		return false
 	}
 	conn.closeLocked(0, closedUnfinished) // no response can be in transit
--- a/internal/front/httpfront/close_test.go
+++ b/internal/front/httpfront/close_test.go
@@ -22,7 +22,7 @@
 
 // newConnWithoutSocket returns a client connection that has no socket.
 func newConnWithoutSocket() *clientConn {
-	return &clientConn{TCPConn: &net.TCPConn{}, onClosed: func(*clientConn) {}}
+	return newClientConn(&net.TCPConn{}, func(*clientConn) {})
 }
 
 // TestRequestOnAConnectionClosedAsIdleIsNotServed guards against serving a request twice. net/http
@@ -60,11 +60,7 @@
 		t.Fatal(err)
 	}
 	closed := make(chan struct{})
-	conn := &clientConn{
-		TCPConn:    netConn.(*net.TCPConn),
-		acceptedAt: time.Now(),
-		onClosed:   func(*clientConn) { close(closed) },
-	}
+	conn := newClientConn(netConn.(*net.TCPConn), func(*clientConn) { close(closed) })
 	readResult := make(chan error, 1)
 	go func() { // this read waits for the next request while the connection is closed
 		n, err := conn.Read(make([]byte, 4<<10))
--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -46,8 +46,9 @@
 	netHTTPActive     atomic.Bool                   // net/http reports the connection as http.StateActive
 	readAheadExceeded atomic.Bool                   // more than maxReadAheadBytes were received during a request
 
+	reader *sockets.LockedReader // reads while it holds mu; only the goroutine that reads calls Read
+
 	// Used only by the goroutine that reads.
-	reader                *sockets.LockedReader
 	requestStarted        bool   // the last read received the first byte of a request
 	readAhead             []byte // received during a request; part of the next request
 	chargedHeadBytes      int64  // charged to memory for the head of the current request
@@ -67,10 +68,16 @@
 	// requestStartedAt is when the first byte of the current request was received; zero if no
 	// request is being read.
 	requestStartedAt time.Time
-	unparsed         bool // bytes were read that framing has not parsed yet
 	closeReason      closeReason
 }
 
+// newClientConn returns an open connection without a bound on the memory of its requests.
+func newClientConn(tcpConn *net.TCPConn, onClosed func(*clientConn)) *clientConn {
+	conn := &clientConn{TCPConn: tcpConn, acceptedAt: time.Now(), onClosed: onClosed}
+	conn.reader = sockets.NewLockedReader(tcpConn, &conn.mu, conn.onRead)
+	return conn
+}
+
 type clientConnKey struct{}
 
 // withClientConn returns a context for the connection's requests, from which clientConnOf gets the
--- a/internal/front/httpfront/listener.go
+++ b/internal/front/httpfront/listener.go
@@ -70,14 +70,11 @@
 }
 
 func (listener *limitedListener) newClientConn(tcpConn *net.TCPConn) *clientConn {
-	return &clientConn{
-		TCPConn:         tcpConn,
-		acceptedAt:      time.Now(),
-		onClosed:        listener.onClosed,
-		earliestArrival: listener.earliestArrival,
-		memory:          listener.memory.NewAccount(),
-		outOfMemory:     &listener.outOfMemory,
-	}
+	conn := newClientConn(tcpConn, listener.onClosed)
+	conn.earliestArrival = listener.earliestArrival
+	conn.memory = listener.memory.NewAccount()
+	conn.outOfMemory = &listener.outOfMemory
+	return conn
 }
 
 // release returns a reservation for which no connection was accepted.
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -46,9 +46,6 @@
 // readSocket reads from the socket. The first byte of a request starts the read timeout of that
 // request, which replaces the deadline that was set before.
 func (conn *clientConn) readSocket(buffer []byte) (int, error) {
-	if conn.reader == nil {
-		conn.reader = sockets.NewLockedReader(conn.TCPConn, &conn.mu, conn.onRead)
-	}
 	count, err := conn.reader.Read(buffer)
 	if conn.requestStarted {
 		conn.requestStarted = false
@@ -56,7 +53,6 @@
 	}
 	if count > 0 {
 		conn.framing.Observe(buffer[:count])
-		conn.onParsed()
 		conn.recordArrival(time.Now())
 	}
 	if isPeerError(err) {
@@ -78,27 +74,9 @@
 		conn.requestStartedAt = time.Now()
 		conn.requestStarted = true
 	}
-	conn.unparsed = count > 0
 	return conn.state != connClosed
 }
 
-// onParsed records that framing has parsed all bytes that were read.
-func (conn *clientConn) onParsed() {
-	conn.mu.Lock()
-	defer conn.mu.Unlock()
-	conn.unparsed = false
-}
-
-// awaitsClientLocked reports whether only the client can make progress: nothing is unread, and the bytes that were
-// received, if any, end in the middle of a request. If the process was paused or has little processor time, it may not
-// have read or handled a whole request for some time, which says nothing about the client. The caller holds conn.mu.
-func (conn *clientConn) awaitsClientLocked() bool {
-	if conn.unparsed || sockets.Inspect(conn.TCPConn) == sockets.InUse {
-		return false
-	}
-	return !conn.hasRead.Load() || conn.framing.MidMessage()
-}
-
 // isIdleLocked reports whether the connection is open and no byte has been received since the last
 // response, if any. The caller holds conn.mu.
 func (conn *clientConn) isIdleLocked() bool {
--- a/internal/http1/framing.go
+++ b/internal/http1/framing.go
@@ -228,18 +228,6 @@
 	framing.current = Head{}
 }
 
-// MidMessage reports whether the bytes received so far end in the middle of a message, or the end of a message is
-// unknown.
-func (framing *Framing) MidMessage() bool {
-	framing.mu.Lock()
-	defer framing.mu.Unlock()
-	return framing.midMessageLocked()
-}
-
-func (framing *Framing) midMessageLocked() bool {
-	return framing.headStarted || framing.lineBytes > 0 || framing.state != inHead
-}
-
 // Pending reports whether bytes of an unfinished message have been received: NextHead has
 // not returned its head yet, or its head or body is incomplete. Once the end of a message is
 // unknown, Pending remains true.
@@ -247,7 +235,8 @@
 	framing.mu.Lock()
 	defer framing.mu.Unlock()
 	headRead := len(framing.heads) > 0
-	return headRead || framing.midMessageLocked()
+	headIncomplete := framing.headStarted || framing.lineBytes > 0
+	return headRead || headIncomplete || framing.state != inHead
 }
 
 // NextHead returns the next complete head, in the order of the messages and each head once. It
--- a/internal/sockets/locked_reader.go
+++ b/internal/sockets/locked_reader.go
@@ -20,6 +20,8 @@
 	lock   sync.Locker
 	onRead func(count int) (accepted bool)
 	raw    syscall.RawConn // nil if conn has no descriptor
+
+	waiting bool // Read waits and has found no bytes; guarded by lock
 }
 
 // NewLockedReader returns a LockedReader for conn. Each read calls onRead with the number of
@@ -68,7 +70,8 @@
 		reader.lock.Lock()
 		defer reader.lock.Unlock()
 		count, err = readNonblocking(int(descriptor), buffer)
-		if errors.Is(err, syscall.EAGAIN) {
+		reader.waiting = errors.Is(err, syscall.EAGAIN)
+		if reader.waiting {
 			return false
 		}
 		accepted = reader.onRead(count)
@@ -87,6 +90,13 @@
 	return count, accepted, err
 }
 
+// AwaitsPeerLocked reports whether only the peer can make progress: Read waits, so that all bytes that were read
+// before have been handled, and no bytes are unread. If the process was paused or has little processor time, it
+// may not have read or handled bytes for some time, which says nothing about the peer. The caller holds the lock.
+func (reader *LockedReader) AwaitsPeerLocked() bool {
+	return reader.waiting && Inspect(reader.conn) != InUse
+}
+
 // readAfterDeadline calls readAvailable once, and returns the error of the wait if there are no bytes. If the process was
 // paused, the deadline may have passed while whole requests waited in the kernel.
 func (reader *LockedReader) readAfterDeadline(readAvailable func(uintptr) bool, waitErr error) error {
