--- a/internal/front/frontend/frontend.go
+++ b/internal/front/frontend/frontend.go
@@ -23,11 +23,31 @@
 	// FirstByteGrace is the age from which a connection without received bytes counts as
 	// silent. The first bytes of a younger connection may still be in transit.
 	FirstByteGrace = 50 * time.Millisecond
+	// UnfinishedGrace is the time for sending a request, after which the connection of a client that is
+	// still sending may make way for a new connection.
+	UnfinishedGrace = 200 * time.Millisecond
+	// StalledGrace is the time without a byte after which the connection of a client that has sent nothing or a part
+	// of a request may make way for a new connection.
+	StalledGrace = 50 * time.Millisecond
+	// EvictionRetryInterval is the interval at which a front end looks again for a connection that may make way,
+	// while a new connection waits.
+	EvictionRetryInterval = 10 * time.Millisecond
+	// EvictionLingerTimeout replaces LingerTimeout for an idle connection that makes way.
+	EvictionLingerTimeout = 20 * time.Millisecond
 	// ShutdownPollInterval is the interval at which a front end looks for silent connections
 	// during its shutdown.
 	ShutdownPollInterval = 10 * time.Millisecond
 )
 
+// IsUnfinishedOverdue reports whether a client that has sent nothing or a part of a request has had its time.
+// startedAt is when the client could begin to send, lastReadAt when bytes were last read, also of an earlier request.
+func IsUnfinishedOverdue(now, startedAt, lastReadAt time.Time) bool {
+	if lastReadAt.Before(startedAt) {
+		lastReadAt = startedAt
+	}
+	return now.Sub(startedAt) >= UnfinishedGrace || now.Sub(lastReadAt) >= StalledGrace
+}
+
 // RequestRules contains the configured classes and tenants and the idempotency of each
 // class. It is immutable, so its methods may be called concurrently.
 type RequestRules struct {
--- a/internal/front/httpfront/close.go
+++ b/internal/front/httpfront/close.go
@@ -21,12 +21,8 @@
 	closeReasonCount
 )
 
-const (
-	// evictionLingerTimeout replaces frontend.LingerTimeout if a new connection is waiting.
-	evictionLingerTimeout = 20 * time.Millisecond
-	// maxLingerBytes is the maximum number of bytes read from a connection while it is being closed.
-	maxLingerBytes = 4 * maxReadAheadBytes
-)
+// maxLingerBytes is the maximum number of bytes read from a connection while it is being closed.
+const maxLingerBytes = 4 * maxReadAheadBytes
 
 // closeIdle closes the connection if it is open and no request has started on it. The bytes of a request
 // may still be unread. closeIdle reports whether it closed the connection.
@@ -40,13 +36,21 @@
 	return true
 }
 
-// closeUnfinished closes the connection at once, even if a request has started on it, unless a whole
-// request was received or the connection is already closed. closeUnfinished reports whether it closed the
-// connection.
-func (conn *clientConn) closeUnfinished() bool {
+// closeUnfinished closes the connection at once if its client has sent nothing or a part of a request, and has
+// had its time for the rest. startedAt is when the client could begin to send. closeUnfinished reports whether it
+// closed the connection.
+func (conn *clientConn) closeUnfinished(now, startedAt time.Time) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if conn.state != connReading || !conn.reader.AwaitsPeerLocked() {
+	if conn.state != connReading {
+		return false
+	}
+	if conn.writeClosed { // after an invalid request, whose rest may still be read
+		conn.closeLocked(frontend.EvictionLingerTimeout, closedUnfinished)
+		return true
+	}
+	isOverdue := frontend.IsUnfinishedOverdue(now, startedAt, conn.lastByteAt)
+	if !isOverdue || !conn.reader.AwaitsPeerLocked() {
 		return false
 	}
 	conn.closeLocked(0, closedUnfinished) // no response can be in transit
@@ -84,7 +88,7 @@
 	if conn.peerClosed.Load() { // there is no client left that could lose a response
 		linger = 0
 	}
-	if linger > 0 && conn.CloseWrite() != nil {
+	if linger > 0 && conn.TCPConn.CloseWrite() != nil {
 		linger = 0
 	}
 	go conn.lingerAndClose(linger) // asynchronous: onClosed locks the listener, which the caller may hold
--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -68,6 +68,8 @@
 	// requestStartedAt is when the first byte of the current request was received; zero if no
 	// request is being read.
 	requestStartedAt time.Time
+	lastByteAt       time.Time // when bytes were last read
+	writeClosed      bool      // the last response was written; no further request is served
 	closeReason      closeReason
 }
 
@@ -127,6 +129,15 @@
 	}
 }
 
+// CloseWrite closes the write side after the last response. net/http calls it before it waits for the client to
+// close the connection.
+func (conn *clientConn) CloseWrite() error {
+	conn.mu.Lock()
+	conn.writeClosed = true // the connection may now be evicted, which reserve finds out within EvictionRetryInterval
+	conn.mu.Unlock()
+	return conn.TCPConn.CloseWrite()
+}
+
 // isReading reports whether the connection is open and none of its requests is being served.
 func (conn *clientConn) isReading() bool {
 	conn.mu.Lock()
@@ -134,6 +145,14 @@
 	return conn.state == connReading
 }
 
+// awaitsClient reports whether the connection is open, no request is being served, and only the client can make
+// progress.
+func (conn *clientConn) awaitsClient() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.state == connReading && conn.reader.AwaitsPeerLocked()
+}
+
 // isClosed reports whether this process has closed the connection.
 func (conn *clientConn) isClosed() bool {
 	conn.mu.Lock()
--- a/internal/front/httpfront/evict.go
+++ b/internal/front/httpfront/evict.go
@@ -7,16 +7,13 @@
 	"mothridge/internal/front/frontend"
 )
 
-// evictUnfinishedAfter is how long a client may take to send a request before its connection may be evicted.
-const evictUnfinishedAfter = 200 * time.Millisecond
-
 // evictionResult is the result of an attempt to evict a connection.
 type evictionResult int
 
 const (
 	evicted        evictionResult = iota // the connection is being closed
 	requestStarted                       // a request has started on the connection; another connection must be chosen
-	candidateSoon                        // no connection can be evicted now, but one may soon count as silent or unfinished
+	candidateSoon                        // no connection can be evicted now, but the time of a client may soon be over
 	noCandidate                          // every connection has a request that is being served
 )
 
@@ -31,7 +28,7 @@
 			case requestStarted:
 				continue
 			case candidateSoon:
-				retry := time.AfterFunc(frontend.FirstByteGrace, listener.changed.Signal)
+				retry := time.AfterFunc(frontend.EvictionRetryInterval, listener.changed.Signal)
 				defer retry.Stop()
 			case evicted, noCandidate:
 			}
@@ -42,52 +39,69 @@
 }
 
 // evictLocked starts to close one connection, so that a new one can be accepted. It chooses the oldest
-// connection that is silent or has been reading a request for too long, because connections that
-// send nothing or only part of a request must not block clients that send requests. If there is no
-// such connection, evictLocked chooses the connection that has been idle for the longest time: the
-// client of an idle connection does not treat an orderly close as a failure.
+// connection whose client has sent nothing, or a part of a request, for too long, because such clients must
+// not block those that send requests. If there is none and there cannot soon be one, evictLocked chooses the
+// connection that has been idle for the longest time: the client of an idle connection does not treat an orderly
+// close as a failure.
 func (listener *limitedListener) evictLocked(now time.Time) evictionResult {
-	closing, retrySoon := listener.closeUnfinishedLocked(now)
-	if closing {
+	reading := listener.readingLocked()
+	if listener.closeUnfinishedLocked(reading, now) {
 		return evicted
 	}
-	if retrySoon { // idle connections, which were used recently, are kept until this is decided
+	// Idle connections, which were used recently, are kept until it is decided whether these clients take too long.
+	if slices.ContainsFunc(reading, (*clientConn).awaitsClient) {
 		return candidateSoon
 	}
-	if len(listener.idle) == 0 {
-		return noCandidate
+	if len(listener.idle) > 0 {
+		return listener.closeIdleLocked(now)
 	}
-	conn := listener.idle[0]
-	listener.idle = slices.Delete(listener.idle, 0, 1)
-	return listener.recordEvictionLocked(conn, conn.closeIdle(evictionLingerTimeout, closedIdle))
+	if len(reading) > 0 {
+		return candidateSoon
+	}
+	return noCandidate
 }
 
-// closeUnfinishedLocked closes the oldest active connection whose client has sent nothing, or has not sent the rest of
-// its request, for too long. If there is none, retrySoon reports whether there may soon be one.
-func (listener *limitedListener) closeUnfinishedLocked(now time.Time) (closing, retrySoon bool) {
-	for i, conn := range listener.active {
-		if !conn.isReading() {
-			continue
+// readingLocked returns the active connections on which no request is being served, oldest first.
+func (listener *limitedListener) readingLocked() (reading []*clientConn) {
+	for _, conn := range listener.active {
+		if conn.isReading() {
+			reading = append(reading, conn)
 		}
-		retrySoon = true
-		overdue := now.Sub(conn.stateChangedAt) >= evictUnfinishedAfter
-		if (overdue || conn.isSilent(now)) && conn.closeUnfinished() {
-			listener.active = slices.Delete(listener.active, i, i+1)
-			listener.recordEvictionLocked(conn, true)
-			return true, false
+	}
+	return reading
+}
+
+// closeUnfinishedLocked closes the first of the connections whose client has had its time to send a request, and
+// reports whether it closed one. Requests that have waited for memory for some time are rejected, because they keep
+// new ones from being read that need none.
+func (listener *limitedListener) closeUnfinishedLocked(reading []*clientConn, now time.Time) bool {
+	for _, conn := range reading {
+		if conn.closeUnfinished(now, conn.stateChangedAt) {
+			listener.active = slices.DeleteFunc(listener.active, func(c *clientConn) bool { return c == conn })
+			listener.recordEvictionLocked(conn)
+			return true
 		}
-		if overdue && conn.memory.EndWait() { // the request is rejected now, and its connection closed
-			return false, true
+		if now.Sub(conn.stateChangedAt) >= frontend.StalledGrace {
+			conn.memory.EndWait()
 		}
 	}
-	return false, retrySoon
+	return false
 }
 
-func (listener *limitedListener) recordEvictionLocked(conn *clientConn, closing bool) evictionResult {
-	if !closing {
+// closeIdleLocked closes the connection that has been idle for the longest time, unless its next request has begun.
+func (listener *limitedListener) closeIdleLocked(now time.Time) evictionResult {
+	conn := listener.idle[0]
+	listener.idle = slices.Delete(listener.idle, 0, 1)
+	if !conn.closeIdle(frontend.EvictionLingerTimeout, closedIdle) {
+		listener.active = append(listener.active, conn) // net/http does not know of its next request yet
+		conn.stateChangedAt = now
 		return requestStarted
 	}
+	listener.recordEvictionLocked(conn)
+	return evicted
+}
+
+func (listener *limitedListener) recordEvictionLocked(conn *clientConn) {
 	conn.evicted = true
 	listener.evicting++
-	return evicted
 }
--- a/internal/front/httpfront/evict_test.go
+++ b/internal/front/httpfront/evict_test.go
@@ -57,7 +57,7 @@
 	handler.release <- struct{}{} // another connection becomes idle while the evicted one lingers
 	closed := 0
 	for _, conn := range idle {
-		conn.SetReadDeadline(time.Now().Add(3 * evictionLingerTimeout))
+		conn.SetReadDeadline(time.Now().Add(3 * frontend.EvictionLingerTimeout))
 		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
 			closed++
 		}
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -70,8 +70,12 @@
 // onRead records that bytes were read. It returns false if the connection is closed, and the bytes
 // are then dropped. The caller holds conn.mu.
 func (conn *clientConn) onRead(count int) (accepted bool) {
-	if count > 0 && conn.isIdleLocked() {
-		conn.requestStartedAt = time.Now()
+	if count == 0 {
+		return conn.state != connClosed
+	}
+	conn.lastByteAt = time.Now()
+	if conn.isIdleLocked() {
+		conn.requestStartedAt = conn.lastByteAt
 		conn.requestStarted = true
 	}
 	return conn.state != connClosed
--- a/internal/front/rpcfront/close.go
+++ b/internal/front/rpcfront/close.go
@@ -1,6 +1,8 @@
 package rpcfront
 
 import (
+	"time"
+
 	"mothridge/internal/front/frontend"
 	"mothridge/internal/msgrpc"
 	"mothridge/internal/sockets"
@@ -11,19 +13,57 @@
 
 // closeIdle closes the connection if it is idle and nothing that the client has sent is unread. From then
 // on, no request that arrives on the connection is submitted, so the client may safely send the request again on
-// another connection. closeIdle reports whether the connection is closed.
+// another connection. closeIdle reports whether it closed the connection.
 func (conn *clientConn) closeIdle() bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
 	if conn.state == connClosed {
-		return true
+		return false
 	}
 	if !conn.isIdleLocked() || sockets.Inspect(conn.netConn) == sockets.InUse {
 		return false
 	}
+	conn.closeLocked(frontend.EvictionLingerTimeout)
+	return true
+}
+
+// closeUnfinished closes the connection at once if its client has sent nothing or a part of a message, no response is
+// due, and the client has had its time for the rest. closeUnfinished reports whether it closed the connection.
+func (conn *clientConn) closeUnfinished(now time.Time) bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	isOverdue := frontend.IsUnfinishedOverdue(now, conn.messageStartedAt, conn.lastReadAt)
+	if !conn.isUnfinishedLocked() || !isOverdue || !conn.reader.AwaitsPeerLocked() {
+		return false
+	}
+	conn.closeLocked(0) // no response can be in transit
+	return true
+}
+
+// isUnfinished reports whether the client has sent nothing yet or a part of a message, no response is due, and only the
+// client can make progress.
+func (conn *clientConn) isUnfinished() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.isUnfinishedLocked() && conn.reader.AwaitsPeerLocked()
+}
+
+func (conn *clientConn) isUnfinishedLocked() bool {
+	return conn.state != connClosed && (conn.messageStarted || !conn.hasRead) && conn.owesNothingLocked()
+}
+
+// closeLocked closes the connection. The writer closes the socket, and reads it on for at most linger before that.
+func (conn *clientConn) closeLocked(linger time.Duration) {
 	conn.state = connClosed
+	conn.lingerTimeout = linger
 	conn.signalWriter()
-	return true
+}
+
+// isClosing reports whether the connection is closed, but its socket may still be open.
+func (conn *clientConn) isClosing() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return conn.state == connClosed
 }
 
 // abandonRequests closes the connection and abandons its requests in flight. It is called when the
@@ -48,9 +88,10 @@
 func (conn *clientConn) closeSocket() {
 	conn.mu.Lock()
 	conn.state = connClosed
+	linger := conn.lingerTimeout
 	conn.mu.Unlock()
-	if halfCloser, ok := conn.netConn.(sockets.HalfCloser); ok {
-		_ = sockets.LingeringClose(halfCloser, frontend.LingerTimeout, maxLingerBytes)
+	if halfCloser, ok := conn.netConn.(sockets.HalfCloser); ok && linger > 0 {
+		_ = sockets.LingeringClose(halfCloser, linger, maxLingerBytes)
 	} else {
 		conn.netConn.Close()
 	}
--- a/internal/front/rpcfront/connection.go
+++ b/internal/front/rpcfront/connection.go
@@ -36,6 +36,7 @@
 	acceptedAt time.Time
 
 	memory *frontend.MemoryAccount
+	reader *sockets.LockedReader // reads while it holds mu; only the reader goroutine calls Read
 
 	// Used only by the reader.
 	malformed          int   // number of messages that could not be handled
@@ -50,6 +51,10 @@
 	idleSince      time.Time // when the connection last became idle
 	hasRead        bool      // at least one byte was read
 	messageStarted bool      // at least part of a message was read that is not handled yet
+	// messageStartedAt is when the client could begin to send the message that is being read, or the next one.
+	messageStartedAt time.Time
+	lastReadAt       time.Time     // when bytes were last read
+	lingerTimeout    time.Duration // for which the closed socket is read on
 }
 
 // openRequest is a request without a response.
@@ -60,15 +65,19 @@
 
 func newClientConn(front *Front, netConn net.Conn) *clientConn {
 	now := time.Now()
-	return &clientConn{
-		front:      front,
-		netConn:    netConn,
-		wakeWriter: make(chan struct{}, 1),
-		acceptedAt: now,
-		memory:     front.config.Memory.NewAccount(),
-		inFlight:   make(map[uint32]openRequest),
-		idleSince:  now,
+	conn := &clientConn{
+		front:            front,
+		netConn:          netConn,
+		wakeWriter:       make(chan struct{}, 1),
+		acceptedAt:       now,
+		memory:           front.config.Memory.NewAccount(),
+		inFlight:         make(map[uint32]openRequest),
+		idleSince:        now,
+		messageStartedAt: now,
+		lingerTimeout:    frontend.LingerTimeout,
 	}
+	conn.reader = sockets.NewLockedReader(netConn, &conn.mu, conn.onRead)
+	return conn
 }
 
 // signalWriter wakes the writer. It does not block.
@@ -81,10 +90,13 @@
 
 // isIdleLocked reports whether no message is being read, no request is in flight, and no response or
 // notification waits to be written. The caller holds conn.mu.
-func (conn *clientConn) isIdleLocked() bool {
-	nothingInFlight := len(conn.inFlight) == 0 && !conn.messageStarted
+func (conn *clientConn) isIdleLocked() bool { return !conn.messageStarted && conn.owesNothingLocked() }
+
+// owesNothingLocked reports whether no request is in flight, and no response or notification waits to be written.
+// The caller holds conn.mu.
+func (conn *clientConn) owesNothingLocked() bool {
 	nothingToWrite := len(conn.responseQueue) == 0 && len(conn.notifications) == 0
-	return nothingInFlight && nothingToWrite
+	return len(conn.inFlight) == 0 && nothingToWrite
 }
 
 // idleTime returns the time since which the connection has been idle; idle is false if it is not idle, or if it
--- a/internal/front/rpcfront/evict.go
+++ b/internal/front/rpcfront/evict.go
@@ -1,24 +1,22 @@
 package rpcfront
 
 import (
+	"maps"
 	"slices"
 	"time"
-)
 
-// evictionInterval is the interval at which awaitCapacity looks for an idle connection while a new one
-// waits. It polls because a connection does not signal that it has become idle.
-const evictionInterval = 20 * time.Millisecond
+	"mothridge/internal/front/frontend"
+)
 
-// awaitCapacity blocks until one more connection may be open or the front end shuts down. It evicts the
-// connection that has been idle for the longest time. If no connection is idle, it waits until one
-// becomes idle or ends.
+// awaitCapacity blocks until one more connection may be open or the front end shuts down. It evicts one connection,
+// and waits until one has ended. It polls because a connection does not signal that it may be evicted.
 func (front *Front) awaitCapacity() {
 	for {
 		connEnded, full := front.evictIfFull()
 		if !full {
 			return
 		}
-		timer := time.NewTimer(evictionInterval)
+		timer := time.NewTimer(frontend.EvictionRetryInterval)
 		select {
 		case <-connEnded:
 		case <-timer.C:
@@ -27,9 +25,8 @@
 	}
 }
 
-// evictIfFull reports whether Config.MaxConnections connections are open. If so, it closes the
-// connection that has been idle for the longest time, and returns a channel that is closed when a
-// connection has ended.
+// evictIfFull reports whether Config.MaxConnections connections are open. If so, it evicts a connection, unless one
+// is being closed already, and returns a channel that is closed when a connection has ended.
 func (front *Front) evictIfFull() (connEnded <-chan struct{}, full bool) {
 	front.mu.Lock()
 	if len(front.conns) < front.config.MaxConnections || front.closed {
@@ -37,14 +34,31 @@
 		return nil, false
 	}
 	connEnded = front.connEnded
-	idle := front.idleLocked(time.Now())
+	conns := slices.Collect(maps.Keys(front.conns))
 	front.mu.Unlock()
-	for _, candidate := range idle {
+	evict(conns, time.Now())
+	return connEnded, true
+}
+
+// evict closes one of the connections, unless one is being closed already. It chooses a connection whose client has
+// sent nothing, or a part of a message, for too long, because such clients must not block those that send
+// requests. If there is none and there cannot soon be one, it chooses the connection that has been idle for the longest
+// time: the client of an idle connection does not treat its close as a failure.
+func evict(conns []*clientConn, now time.Time) {
+	if slices.ContainsFunc(conns, (*clientConn).isClosing) {
+		return
+	}
+	if slices.ContainsFunc(conns, func(conn *clientConn) bool { return conn.closeUnfinished(now) }) {
+		return
+	}
+	if slices.ContainsFunc(conns, (*clientConn).isUnfinished) { // may soon be overdue
+		return
+	}
+	for _, candidate := range longestIdleFirst(conns, now) {
 		if candidate.conn.closeIdle() {
-			break
+			return
 		}
 	}
-	return connEnded, true
 }
 
 // idleConn is a connection that is idle since a time.
@@ -53,11 +67,11 @@
 	since time.Time
 }
 
-// idleLocked returns the idle connections, longest idle first. New connections whose first message may still be
-// in transit are not among them. The caller holds front.mu.
-func (front *Front) idleLocked(now time.Time) []idleConn {
+// longestIdleFirst returns the idle connections. New connections whose first message may still be in transit
+// are not among them.
+func longestIdleFirst(conns []*clientConn, now time.Time) []idleConn {
 	var idle []idleConn
-	for conn := range front.conns {
+	for _, conn := range conns {
 		if since, isIdle := conn.idleTime(now); isIdle {
 			idle = append(idle, idleConn{conn, since})
 		}
--- a/internal/front/rpcfront/read_connection.go
+++ b/internal/front/rpcfront/read_connection.go
@@ -17,8 +17,7 @@
 // readLoop is the reader. It reads and handles messages until the connection ends.
 func (conn *clientConn) readLoop() {
 	defer conn.abandonRequests()
-	reader := recordedConn{conn.netConn, sockets.NewLockedReader(conn.netConn, &conn.mu, conn.onRead)}
-	framer := msgrpc.NewFramer(reader, msgrpc.MaxRequestBytes, frontend.RequestReadTimeout)
+	framer := msgrpc.NewFramer(recordedConn{conn.netConn, conn.reader}, msgrpc.MaxRequestBytes, frontend.RequestReadTimeout)
 	framer.Reserve = conn.chargeBuffer
 	for {
 		frame, err := framer.Next()
@@ -54,10 +53,15 @@
 	if conn.state == connClosed {
 		return false
 	}
-	if count > 0 {
-		conn.hasRead = true
-		conn.messageStarted = true
+	if count == 0 {
+		return true
 	}
+	conn.lastReadAt = time.Now()
+	if !conn.messageStarted {
+		conn.messageStartedAt = conn.lastReadAt
+	}
+	conn.hasRead = true
+	conn.messageStarted = true
 	return true
 }
 
@@ -66,6 +70,7 @@
 func (conn *clientConn) onMessageHandled(remaining int) {
 	conn.mu.Lock()
 	conn.messageStarted = remaining > 0
+	conn.messageStartedAt = time.Now()
 	finished := conn.state == connFinishing && conn.isIdleLocked()
 	conn.mu.Unlock()
 	if finished {
