A client's close is seen behind any number of bytes on its connection

Callers saw: a client that sent over 80 KiB behind its request and went had its request forwarded afterwards (rule: no attempt 0.1 s after the close). Cause: the watch for the close stopped at 80 KiB, and unread bytes hide a close from the look at the socket next to the write. Change: what comes behind the largest request is dropped instead of left unread, up to the response, which announces the close of the connection as before; 64 MB/s at most. Why it works: the end of the stream is reached. Without memory for read-ahead bytes the close is still not seen.

--- a/internal/front/httpfront/connection.go
+++ b/internal/front/httpfront/connection.go
@@ -38,13 +38,13 @@
 	memory      *frontend.MemoryAccount
 	outOfMemory *atomic.Uint64 // counts the listener's requests without memory
 
-	acceptedAt        time.Time
-	earliestArrival   func(now time.Time) time.Time // see Config.EarliestArrival; may be nil
-	lastReadAt        atomic.Int64                  // nanoseconds after acceptedAt; valid if hasRead is set
-	hasRead           atomic.Bool                   // at least one byte was read
-	peerClosed        atomic.Bool                   // the client has closed or reset the connection
-	netHTTPActive     atomic.Bool                   // net/http reports the connection as http.StateActive
-	readAheadExceeded atomic.Bool                   // more than maxReadAheadBytes were received during a request
+	acceptedAt      time.Time
+	earliestArrival func(now time.Time) time.Time // see Config.EarliestArrival; may be nil
+	lastReadAt      atomic.Int64                  // nanoseconds after acceptedAt; valid if hasRead is set
+	hasRead         atomic.Bool                   // at least one byte was read
+	peerClosed      atomic.Bool                   // the client has closed or reset the connection
+	netHTTPActive   atomic.Bool                   // net/http reports the connection as http.StateActive
+	interrupted     atomic.Bool                   // net/http has interrupted a read by a deadline in the past
 
 	reader *sockets.LockedReader // reads while it holds mu; only the goroutine that reads calls Read
 
@@ -70,6 +70,8 @@
 	requestStartedAt time.Time
 	lastByteAt       time.Time // when bytes were last read
 	writeClosed      bool      // the last response was written; no further request is served
+	responding       bool      // the response to the current request is being written
+	discarding       bool      // bytes behind the current request are dropped; its response is the last one
 	closeReason      closeReason
 }
 
@@ -100,12 +102,31 @@
 	open := conn.state == connReading
 	if open {
 		conn.state = connServing
+		conn.responding = false
 	}
 	conn.mu.Unlock()
 	conn.finishReading()
 	return open
 }
 
+// beginResponse records that the response to the current request is about to be written, and reports whether it
+// must be the last one on the connection.
+func (conn *clientConn) beginResponse() (isLast bool) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.responding = true
+	return conn.discarding
+}
+
+// beginDiscarding records that bytes behind the current request are dropped from now on. It returns false if the
+// response is already being written, which then does not announce the close of the connection.
+func (conn *clientConn) beginDiscarding() bool {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.discarding = conn.discarding || !conn.responding
+	return conn.discarding
+}
+
 // finishReading records that a request was read completely, and removes the request's read
 // timeout from the connection.
 func (conn *clientConn) finishReading() {
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -12,13 +12,16 @@
 )
 
 // maxReadAheadBytes is the maximum number of bytes that are buffered while another request is being
-// served: one request of the largest size. If more bytes arrive, the connection is closed after the
-// response.
+// served: one request of the largest size. If more bytes arrive, they are dropped, and the connection is closed
+// after the response.
 const maxReadAheadBytes = http1.MaxRequestBodyBytes + maxHeaderBytes
 
 // readAheadChunkBytes is the maximum number of bytes that one read takes while a request is served.
 const readAheadChunkBytes = 1 << 10
 
+// discardChunkBytes is the maximum number of bytes that are dropped by one read.
+const discardChunkBytes = 4 << 10
+
 // Read implements net.Conn; it is not called concurrently. During a request, net/http reads one byte
 // to detect that the client disconnects; see watchForClose.
 func (conn *clientConn) Read(buffer []byte) (int, error) {
@@ -90,8 +93,8 @@
 // watchForClose implements the one-byte read that net/http makes during a request. It returns an
 // error if the client disconnects. Because unread bytes would hide a disconnect, watchForClose
 // continues to read and buffers the bytes. It returns one of them after net/http has interrupted the
-// read with a deadline, or when maxReadAheadBytes are buffered. If there is no memory for more, it returns one too, and the
-// rest stays unread until the response.
+// read with a deadline. Bytes beyond maxReadAheadBytes are dropped. If there is no memory for more, it returns one
+// too, and the rest stays unread until the response.
 func (conn *clientConn) watchForClose(buffer []byte) (int, error) {
 	if len(conn.readAhead) == 0 { // usually no bytes arrive, so this path allocates no memory
 		count, err := conn.readSocket(buffer)
@@ -100,21 +103,56 @@
 		}
 		conn.readAhead = append(conn.readAhead, buffer[0])
 	}
-	for len(conn.readAhead) < maxReadAheadBytes {
+	for !conn.interrupted.Load() {
 		var chunk [readAheadChunkBytes]byte
 		count, err := conn.readSocket(chunk[:min(len(chunk), maxReadAheadBytes-len(conn.readAhead))])
 		conn.readAhead = append(conn.readAhead, chunk[:count]...)
 		if err != nil && conn.peerClosed.Load() {
 			return 0, err
 		}
-		if hasMemory := conn.chargeReadAhead(count); err != nil || !hasMemory {
-			return conn.takeReadAhead(buffer), nil
+		if err != nil {
+			break
+		}
+		if !conn.chargeReadAhead(count) {
+			break
+		}
+		if len(conn.readAhead) == maxReadAheadBytes {
+			return conn.discardUntilClose(buffer)
 		}
 	}
-	conn.readAheadExceeded.Store(true)
 	return conn.takeReadAhead(buffer), nil
 }
 
+const (
+	// discardBurstBytes is how many bytes discardUntilClose drops before it pauses for discardPause, so that a
+	// client that sends without an end takes little processor time.
+	discardBurstBytes = 64 << 10
+	discardPause      = time.Millisecond
+)
+
+// discardUntilClose drops what the client sends behind the current request, so that its disconnect is seen, until
+// the request has its response. The response announces the close of the connection.
+func (conn *clientConn) discardUntilClose(buffer []byte) (int, error) {
+	if !conn.beginDiscarding() {
+		return conn.takeReadAhead(buffer), nil
+	}
+	conn.readAhead = nil
+	conn.memory.Remove(conn.chargedReadAheadBytes)
+	conn.chargedReadAheadBytes = 0
+	for burst := 0; !conn.interrupted.Load(); {
+		var chunk [discardChunkBytes]byte
+		count, err := conn.readSocket(chunk[:])
+		if err != nil {
+			return 0, err
+		}
+		if burst += count; burst >= discardBurstBytes {
+			burst = 0
+			time.Sleep(discardPause)
+		}
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
 // takeReadAhead moves buffered bytes into buffer and returns their number.
 func (conn *clientConn) takeReadAhead(buffer []byte) int {
 	count := copy(buffer, conn.readAhead)
@@ -159,6 +197,7 @@
 		return nil
 	}
 	interrupts := !deadline.IsZero() && !deadline.After(conn.acceptedAt)
+	conn.interrupted.Store(interrupts)
 	if !conn.requestStartedAt.IsZero() && !interrupts {
 		deadline = conn.requestStartedAt.Add(frontend.RequestReadTimeout)
 	}
--- a/internal/front/httpfront/write_response.go
+++ b/internal/front/httpfront/write_response.go
@@ -47,7 +47,7 @@
 	_, _ = io.WriteString(writer, text)
 	_ = http.NewResponseController(writer).Flush()
 	conn := clientConnOf(httpRequest)
-	conn.CloseWrite()
+	_ = conn.CloseWrite()
 	conn.limitRemainingRead(invalidBodyTimeout)
 	_, _ = io.CopyN(io.Discard, httpRequest.Body, http1.MaxRequestBodyBytes)
 }
@@ -60,7 +60,7 @@
 	if response.RetryAfter > 0 {
 		header.Set("Retry-After", http1.FormatSeconds(response.RetryAfter))
 	}
-	if conn.readAheadExceeded.Load() || front.listener.isDraining() {
+	if isLast := conn.beginResponse(); isLast || front.listener.isDraining() {
 		header.Set("Connection", "close")
 	}
 	body := response.Body
--- a/internal/sidecar/client_disconnect_test.go
+++ b/internal/sidecar/client_disconnect_test.go
@@ -35,6 +35,8 @@
 		"after its request":             "",
 		"after half of another request": "POST /api HTTP/1.1\r\nHo",
 		"after sixty other requests":    strings.Repeat(postHeader("more")+noBody, 60),
+		"after 95 kB":                   strings.Repeat("x", 95<<10), // more than is read ahead of the next request
+		"after 1 MB of other requests":  strings.Repeat(postHeader("more")+noBody, 1<<20/len(postHeader("more")+noBody)),
 	} {
 		t.Run("queued, "+name, func(t *testing.T) { testQueuedClientDisconnects(t, afterRequest) })
 	}
