The id of an abandoned request that may have run stays in use

Cause: an id was free as soon as its client had left, also while its attempt was out. Why it works: the second request is answered as one with an id in flight is.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,8 +121,9 @@
 // Abandon reports that the client of a request has disconnected or has cancelled the request: see Handler.
 func (c *Core) Abandon(request *Request) { c.post(clientDisconnected{request}) }
 
-// HasRequest reports whether a request with the given Request-Id is being handled.
-func (c *Core) HasRequest(id string) bool { return c.requests.ids.contains(id) }
+// HasRequest reports whether a request with the given Request-Id is being handled, or was abandoned by its client
+// and may have run.
+func (c *Core) HasRequest(id string) bool { return c.requests.ids.contains(id, time.Now()) }
 
 // Ready reports whether an endpoint list is known.
 func (c *Core) Ready() bool { return c.ready.Load() }
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -17,7 +17,8 @@
 
 func (e requestReceived) handle(c *Core) {
 	request := e.request
-	if !c.requests.add(request) {
+	request.mustNotRunAgain = c.config.Policy.Classes[request.Class].Idempotency != policy.Idempotent
+	if !c.requests.add(request, time.Now()) {
 		// Two requests with the same Request-Id could take effect twice if both were handled.
 		request.completed = true
 		request.Respond(Response{Result: Duplicate})
@@ -43,8 +44,9 @@
 	if !registered || request.completed {
 		return
 	}
-	request.history.complete(time.Now(), true)
-	c.requests.complete(request)
+	now := time.Now()
+	request.history.complete(now, true)
+	c.requests.abandon(request, now)
 	c.balancer.ClientDisconnected(c.now, request.policyID)
 }
 
@@ -64,7 +66,7 @@
 	if e.result == policy.Served {
 		c.respond(request.policyID, *e.response)
 	}
-	c.requests.removeIfDone(request) // for any result, as the client may have disconnected before the attempt ended
+	c.requests.removeIfDone(request, time.Now()) // for any result, as the client may have disconnected before the attempt ended
 	c.balancer.AttemptEnded(c.now, policy.AttemptOutcome{
 		ID:        request.policyID,
 		Attempt:   e.attempt.number,
--- a/internal/core/request_history.go
+++ b/internal/core/request_history.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +45,13 @@
 	return !h.completedAt.IsZero(), h.clientDisconnected
 }
 
+// mayHaveRun reports whether an attempt was written that may have run.
+func (h *requestHistory) mayHaveRun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.writes, func(write attemptWrite) bool { return !write.neverRan })
+}
+
 // attemptEnded records an attempt's result.
 func (h *requestHistory) attemptEnded(number int, result policy.AttemptResult) {
 	h.mu.Lock()
--- a/internal/front/httpfront/read_request.go
+++ b/internal/front/httpfront/read_request.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	if front.handler.HasRequest(fields.id) {
-		return nil, &requestError{http.StatusConflict, "another request with this Request-Id is in flight"}
+		return nil, &requestError{http.StatusConflict, "another request with this Request-Id is in flight, or may have run for a client that has left"}
 	}
 	body, err := readBody(httpRequest, idempotency, conn)
 	if err != nil {
