--- a/cmd/sidecar/crowded_test.go
+++ b/cmd/sidecar/crowded_test.go
@@ -59,12 +59,50 @@
 	program := buildProgram(t)
 	for protocol, kinds := range crowdRequests {
 		for kind, text := range kinds {
-			t.Run(protocol+", "+kind, func(t *testing.T) { testCrowd(t, program, protocol, text) })
+			t.Run(protocol+", "+kind, func(t *testing.T) { testCrowd(t, program, protocol, text, sendAndStay) })
 		}
 	}
 }
 
-func testCrowd(t *testing.T, program, protocol string, text func(id int) string) {
+// Guards against clients that write their requests slowly, by hundreds, and so delay the requests of other clients
+// beyond their time.
+func TestSlowRequestsDoNotDelayOthers(t *testing.T) {
+	program := buildProgram(t)
+	for protocol, text := range slowRequests {
+		t.Run(protocol, func(t *testing.T) { testCrowd(t, program, protocol, text, sendSlowly) })
+	}
+}
+
+// slowRequests are whole requests with a large body, by protocol.
+var slowRequests = map[string]func(id int) string{
+	"http": func(id int) string {
+		return requestHead(fmt.Sprint("slow-", id)) + "Content-Length: 60000\r\n\r\n" + strings.Repeat("b", 60000)
+	},
+	"msgpack-rpc": func(id int) string {
+		call := msgrpc.Call{ID: fmt.Sprint("slow-", id), Class: "a", Target: "/api", Host: "x", Timeout: time.Second, Body: make([]byte, 60000)}
+		return string(call.Append(nil, 1))
+	},
+}
+
+// sendSlowly sends a text at 64 kB a second.
+func sendSlowly(address, text string) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	defer conn.Close()
+	for len(text) > 0 {
+		part := min(len(text), 3200)
+		if _, err := io.WriteString(conn, text[:part]); err != nil {
+			return
+		}
+		text = text[part:]
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func testCrowd(t *testing.T, program, protocol string, text func(id int) string, send func(address, text string)) {
 	started := startPausable(t, program, 256)
 	address := started.addresses[protocol]
 	var done atomic.Bool
@@ -72,7 +110,7 @@
 	for client := range crowdClients {
 		crowd.Go(func() {
 			for try := 0; !done.Load(); try++ {
-				sendAndStay(address, text(client*1000+try))
+				send(address, text(client*1000+try))
 			}
 		})
 	}
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -26,7 +26,7 @@
 		{"decisions", policy.Counters{}, "ordinary knocked passed trials shed retries refused failed"},
 		{"violations", core.Violations{}, "sent_to_draining sent_for_left sent_after_answer " +
 			"repeated_unsafe repeated_too_late deadline_too_long answered_twice"},
-		{"prevented sends", core.PreventedSends{}, "draining left answered window"},
+		{"prevented sends", core.PreventedSends{}, "draining left answered window process"},
 		{"quota usage", quota.Usage{}, "own borrowed refused lent repaid"},
 		{"HTTP listener", httpfront.Counters{}, "connections taken rejected out_of_memory left failed " +
 			"closed_by_server closed_idle closed_drain closed_silent closed_unfinished closed_cut closed_unanswered"},
