A keyed request is not repeated once its endpoint has got another cell

Tests for Eureka, the last known list, an id that comes back, an address that swaps back and two that are swapped.

--- a/internal/core/address_reuse_test.go
+++ b/internal/core/address_reuse_test.go
@@ -25,7 +25,9 @@
 	}
 	removed := listedEndpoint("old", 0)
 	removed.Health = Removed
-	moved := readyEndpoint("new", "127.0.0.1:8")
+	moved, elsewhere := readyEndpoint("new", "127.0.0.1:8"), readyEndpoint("old", "127.0.0.1:8")
+	goneNew := listedEndpoint("new", 5)
+	goneNew.Health = Removed
 	for _, tt := range []struct {
 		name    string
 		updates []EndpointUpdate
@@ -59,6 +61,15 @@
 		{"the new endpoint was listed by mistake and has moved", []EndpointUpdate{
 			delta(listedEndpoint("old", 0)), delta(listedEndpoint("new", 5)), complete(moved, listedEndpoint("old", 0)),
 		}, addressSettleTime, states{"old": addressUnshared, "new": addressUnshared}},
+		{"the old endpoint comes back at its address after the new one has gone", []EndpointUpdate{
+			delta(listedEndpoint("old", 0)), delta(listedEndpoint("new", 5)), delta(goneNew), delta(listedEndpoint("old", 9)),
+		}, 0, states{"old": addressUnshared}},
+		{"the old endpoint is removed and comes back under its name", []EndpointUpdate{
+			delta(listedEndpoint("old", 0)), delta(listedEndpoint("new", 5)), delta(removed), delta(listedEndpoint("old", 9)),
+		}, 0, states{"old": addressUnshared, "new": addressSuperseded}},
+		{"two endpoints swap their addresses", []EndpointUpdate{
+			delta(listedEndpoint("old", 0), moved), delta(elsewhere, listedEndpoint("new", 0)),
+		}, 0, states{"old": addressUnshared, "new": addressUnshared}},
 		{"the old endpoint restarts at its address", []EndpointUpdate{
 			delta(listedEndpoint("old", 0)), delta(listedEndpoint("new", 5)), delta(listedEndpoint("old", 9)),
 		}, 0, states{"old": addressUnshared, "new": addressSuperseded}},
@@ -103,3 +114,15 @@
 		t.Errorf("%s: got attempts prevented %v for state %v", name, prevented, want)
 	}
 }
+
+// The last known list of a process that starts may contain an endpoint whose address has been reused since.
+func TestCachedEndpointAtReusedAddress(t *testing.T) {
+	core := newTestCore(t, listedEndpoint("old", 0))
+	endpointsUpdated{EndpointUpdate{Endpoints: []Endpoint{listedEndpoint("new", 5)}}}.handle(core)
+	checkAddressReuse(t, core, "old", addressSuperseded)
+	checkAddressReuse(t, core, "new", addressUnshared)
+	endpointsUpdated{EndpointUpdate{Complete: true, Endpoints: []Endpoint{listedEndpoint("new", 5)}}}.handle(core)
+	if core.endpoints.byName["old"] != nil {
+		t.Error("the complete list does not contain the old endpoint, but the table does")
+	}
+}
--- a/internal/rig/address_reuse_test.go
+++ b/internal/rig/address_reuse_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"mothridge/internal/peers"
+	"mothridge/internal/peers/peertest"
 )
 
 // executionsByCell counts, for each idempotency key, the cells whose nodes have executed the key's effect. The
@@ -52,20 +54,27 @@
 func TestKeyedRequestRunsOnceWhenAnAddressIsReused(t *testing.T) {
 	for _, pair := range pairings {
 		for _, listed := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%v, start listed: %v", pair, listed), func(t *testing.T) {
-				t.Parallel()
-				testReusedAddress(t, pair, listed)
-			})
+			for _, source := range []string{"platform", "Eureka"} {
+				t.Run(fmt.Sprintf("%v, %s, start listed: %v", pair, source, listed), func(t *testing.T) {
+					t.Parallel()
+					var registry *peers.EurekaRegistry
+					if source == "Eureka" {
+						registry = peertest.NewEureka(t)
+					}
+					testReusedAddress(t, pair, registry, listed)
+				})
+			}
 		}
 	}
 }
 
-func testReusedAddress(t *testing.T, pair pairing, listed bool) {
+// testReusedAddress plays the test with the platform's discovery, or with a Eureka registry if it is not nil.
+func testReusedAddress(t *testing.T, pair pairing, registry *peers.EurekaRegistry, listed bool) {
 	const oldCell, newCell = 1, 2
 	executions := &executionsByCell{cells: make(map[string]map[int]bool)}
 	rig := start(t, Options{
 		ClientProtocol: pair.front, NodeProtocol: pair.nodes, NodeCount: 3, Slots: 100,
-		Settings: keyedInCellSettings(), Script: executions.script(oldCell),
+		Settings: keyedInCellSettings(), Script: executions.script(oldCell), Eureka: registry,
 	})
 	client := startClient(t, rig)
 	ended := rig.Nodes[0]
@@ -100,10 +109,16 @@
 // listNode adds a node that has just started to the endpoint list, and waits until the sidecar has the list.
 func (r *Rig) listNode(t *testing.T, node *peers.Upstream, cell int) {
 	t.Helper()
-	r.Discovery.Set(peers.Endpoint{
-		Name: node.Name, Addr: node.Addr(), Zone: "a", MachineType: "m", Cell: cell, Health: "up", Weight: 1,
-		StartedAtMs: time.Now().UnixMilli(),
-	})
+	startedAtMs := time.Now().UnixMilli()
+	if r.Eureka == nil {
+		r.Discovery.Set(peers.Endpoint{
+			Name: node.Name, Addr: node.Addr(), Zone: "a", MachineType: "m", Cell: cell, Health: "up", Weight: 1, StartedAtMs: startedAtMs,
+		})
+	} else {
+		instance := r.EurekaRegistration(node, node.Name, "UP", startedAtMs)
+		instance.Metadata["cell"] = strconv.Itoa(cell)
+		r.Eureka.Register(instance)
+	}
 	last, err := peers.StartUpstream(r.protocol, "records-last", r.Ledger, peers.ServeAll)
 	if err != nil {
 		t.Fatal(err)
--- a/policy/process_identity.go
+++ b/policy/process_identity.go
@@ -34,9 +34,13 @@
 }
 
 // knowsDedupGroup reports whether the group of endpoints that drop a repeat of an attempt is known, or does
-// not matter to the class.
+// not matter to the class. It is unknown if the endpoint has got another group since, because the list may
+// have reported that late.
 func (c *classState) knowsDedupGroup(now time.Duration, first *attempt) bool {
-	return !c.hasDedupGroups() || !first.endpoint.processUnknown(now)
+	if !c.hasDedupGroups() {
+		return true
+	}
+	return !first.endpoint.processUnknown(now) && first.group == first.endpoint.dedupGroup()
 }
 
 // dedupGroup identifies the endpoints that drop repeats of each other's requests. An endpoint may get another
--- a/policy/process_identity_test.go
+++ b/policy/process_identity_test.go
@@ -44,12 +44,12 @@
 		}, 100 * ms, true, false},
 		{"the first endpoint has moved to another cell", keyedInCellClass, func(b *Balancer) {
 			b.EndpointsUpdated(60*ms, DeltaUpdate, []Endpoint{{ID: firstTo, Health: Ready, Weight: 1, Cell: 7}})
-		}, 100 * ms, true, false},
+		}, 100 * ms, false, true},
 		{"all endpoints have moved to another cell", keyedInCellClass, func(b *Balancer) {
 			b.EndpointsUpdated(60*ms, DeltaUpdate, []Endpoint{
 				{ID: firstTo, Health: Ready, Weight: 1, Cell: 7}, {ID: lastTo, Health: Ready, Weight: 1, Cell: 7},
 			})
-		}, 100 * ms, false, false},
+		}, 100 * ms, false, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			b, h := newTestBalancer(t, testConfig(), readyEndpoints(firstTo))
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -65,7 +65,7 @@
 	if !c.hasDedupGroups() {
 		return true
 	}
-	if endpoint.processUnknown(now) || first.endpoint.processUnknown(now) {
+	if endpoint.processUnknown(now) || !c.knowsDedupGroup(now, first) {
 		return false
 	}
 	group := endpoint.dedupGroup()
