--- a/internal/front/httpfront/close.go
+++ b/internal/front/httpfront/close.go
@@ -29,7 +29,7 @@
 func (conn *clientConn) closeIdle(linger time.Duration, reason closeReason) bool {
 	conn.mu.Lock()
 	defer conn.mu.Unlock()
-	if !conn.isIdleLocked() || sockets.Inspect(conn.TCPConn) == sockets.InUse {
+	if !conn.isIdleLocked() || sockets.Inspect(conn.TCPConn) == sockets.Readable {
 		return false
 	}
 	conn.closeLocked(linger, reason)
--- a/internal/front/httpfront/memory.go
+++ b/internal/front/httpfront/memory.go
@@ -24,13 +24,10 @@
 	rejectHeadTimeout = 10 * time.Millisecond
 )
 
-// chargeHead charges the memory of the head that is being read. It blocks for at most memoryWaitTimeout and returns false
-// if there is no memory. net/http has not parsed the bytes of the last read yet.
-func (conn *clientConn) chargeHead() bool {
-	if conn.memory == nil {
-		return true
-	}
-	size, lines := conn.framing.HeadSize()
+// chargeHead charges the memory of the head that is being read, of which size bytes in a number of lines were received. It
+// blocks for at most memoryWaitTimeout and returns false if there is no memory. net/http has not parsed the bytes of the
+// last read yet.
+func (conn *clientConn) chargeHead(size, lines int) bool {
 	total := int64(size) + int64(lines)*frontend.FieldOverheadBytes
 	missing := max(0, total-conn.chargedHeadBytes)
 	if !conn.charge(missing) {
@@ -40,12 +37,6 @@
 	return true
 }
 
-// hasTooManyLines reports whether the head that is being read has more lines than any valid one.
-func (conn *clientConn) hasTooManyLines() bool {
-	_, lines := conn.framing.HeadSize()
-	return lines > maxHeadLines
-}
-
 // rejectHeadWithoutMemory responds to a request whose head finds no memory, as rejectHead does.
 func (conn *clientConn) rejectHeadWithoutMemory() error {
 	if conn.isClosed() { // the wait ended because the connection was closed
--- a/internal/front/httpfront/read_connection.go
+++ b/internal/front/httpfront/read_connection.go
@@ -21,7 +21,7 @@
 const readAheadChunkBytes = 1 << 10
 
 // discardChunkBytes is the maximum number of bytes that are dropped by one read.
-const discardChunkBytes = 4 << 10
+const discardChunkBytes = 16 << 10
 
 // Read implements net.Conn; it is not called concurrently. During a request, net/http reads one byte
 // to detect that the client disconnects; see watchForClose.
@@ -33,10 +33,10 @@
 	if count == 0 || conn.netHTTPActive.Load() {
 		return count, err
 	}
-	switch {
-	case conn.hasTooManyLines():
+	switch size, lines := conn.framing.HeadSize(); {
+	case lines > maxHeadLines:
 		return 0, conn.rejectHead(http.StatusRequestHeaderFieldsTooLarge, "")
-	case !conn.chargeHead():
+	case !conn.chargeHead(size, lines):
 		return 0, conn.rejectHeadWithoutMemory()
 	}
 	return count, err
@@ -65,16 +65,16 @@
 		conn.framing.Observe(buffer[:count])
 		conn.recordArrival(time.Now())
 	}
-	if isPeerError(err) {
-		conn.peerClosed.Store(true)
-	}
+	conn.recordPeerError(err)
 	return count, err
 }
 
-// isPeerError reports whether a read failed because of the client, and not because of a deadline or
-// because this process closed the connection.
-func isPeerError(err error) bool {
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
+// recordPeerError records that the client has disconnected if a read failed for that reason, and not because of a
+// deadline or because this process closed the connection. err may be nil.
+func (conn *clientConn) recordPeerError(err error) {
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		conn.peerClosed.Store(true)
+	}
 }
 
 // onRead records that bytes were read. It returns false if the connection is closed, and the bytes
@@ -117,10 +117,7 @@
 		if err != nil && conn.peerClosed.Load() {
 			return 0, err
 		}
-		if err != nil {
-			break
-		}
-		if !conn.chargeReadAhead(count) {
+		if hasMemory := conn.chargeReadAhead(count); err != nil || !hasMemory {
 			break
 		}
 		if len(conn.readAhead) == maxReadAheadBytes {
@@ -138,7 +135,7 @@
 )
 
 // discardUntilClose drops what the client sends behind the current request, so that its disconnect is seen, until
-// the request has its response. The response announces the close of the connection.
+// the request has its response. The response announces the close of the connection, so that the bytes need no parsing.
 func (conn *clientConn) discardUntilClose(buffer []byte) (int, error) {
 	if !conn.beginDiscarding() {
 		return conn.takeReadAhead(buffer), nil
@@ -148,8 +145,9 @@
 	conn.chargedReadAheadBytes = 0
 	for burst := 0; !conn.interrupted.Load(); {
 		var chunk [discardChunkBytes]byte
-		count, err := conn.readSocket(chunk[:])
+		count, err := conn.reader.Read(chunk[:])
 		if err != nil {
+			conn.recordPeerError(err)
 			return 0, err
 		}
 		if burst += count; burst >= discardBurstBytes {
