--- a/cmd/sidecar/crowded_test.go
+++ b/cmd/sidecar/crowded_test.go
@@ -39,8 +39,7 @@
 	},
 	"msgpack-rpc": {
 		"half a body": func(id int) string {
-			call := msgrpc.Call{ID: fmt.Sprint("crowd-", id), Class: "a", Target: "/api", Host: "x", Timeout: time.Second, Body: make([]byte, 60000)}
-			encoded := call.Append(nil, 1)
+			encoded := encodeCall(fmt.Sprint("crowd-", id), time.Second, 60000)
 			return string(encoded[:len(encoded)/2])
 		},
 		"20,000 fields": func(int) string {
@@ -79,8 +78,7 @@
 		return requestHead(fmt.Sprint("slow-", id)) + "Content-Length: 60000\r\n\r\n" + strings.Repeat("b", 60000)
 	},
 	"msgpack-rpc": func(id int) string {
-		call := msgrpc.Call{ID: fmt.Sprint("slow-", id), Class: "a", Target: "/api", Host: "x", Timeout: time.Second, Body: make([]byte, 60000)}
-		return string(call.Append(nil, 1))
+		return string(encodeCall(fmt.Sprint("slow-", id), time.Second, 60000))
 	},
 }
 
--- a/cmd/sidecar/paused_process_test.go
+++ b/cmd/sidecar/paused_process_test.go
@@ -57,8 +57,7 @@
 	{
 		name: "msgpack-rpc",
 		request: func(id string) []byte {
-			call := msgrpc.Call{ID: id, Class: "a", Target: "/api", Host: "x", Timeout: pausedRequestTimeout}
-			return call.Append(nil, 1)
+			return encodeCall(id, pausedRequestTimeout, 0)
 		},
 		read: func(reader *bufio.Reader) error {
 			_, err := reader.ReadByte()
@@ -67,6 +66,12 @@
 	},
 }
 
+// encodeCall returns an encoded MessagePack-RPC call with a body of a size.
+func encodeCall(id string, timeout time.Duration, bodyBytes int) []byte {
+	call := msgrpc.Call{ID: id, Class: "a", Target: "/api", Host: "x", Timeout: timeout, Body: make([]byte, bodyBytes)}
+	return call.Append(nil, 1)
+}
+
 // Guards against whole requests whose connections make way for new ones at the bound, so that they get no answer.
 // While the process is paused, requests wait in the kernel, or have been read and are not handled, and by the clock
 // their clients have sent nothing, or only a part of a request, for too long. Over MessagePack-RPC a connection
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -17,7 +17,6 @@
 
 func (e requestReceived) handle(c *Core) {
 	request := e.request
-	request.mustNotRunAgain = c.config.Policy.Classes[request.Class].Idempotency != policy.Idempotent
 	if !c.requests.add(request, time.Now()) {
 		// Two requests with the same Request-Id could take effect twice if both were handled.
 		request.completed = true
@@ -44,9 +43,12 @@
 	if !registered || request.completed {
 		return
 	}
-	now := time.Now()
-	request.history.complete(now, true)
-	c.requests.abandon(request, now)
+	request.history.complete(time.Now(), true)
+	if c.config.Policy.Classes[request.Class].Idempotency == policy.Idempotent {
+		c.requests.complete(request)
+	} else {
+		c.requests.abandon(request)
+	}
 	c.balancer.ClientDisconnected(c.now, request.policyID)
 }
 
@@ -66,7 +68,7 @@
 	if e.result == policy.Served {
 		c.respond(request.policyID, *e.response)
 	}
-	c.requests.removeIfDone(request, time.Now()) // for any result, as the client may have disconnected before the attempt ended
+	c.requests.removeIfDone(request) // for any result, as the client may have disconnected before the attempt ended
 	c.balancer.AttemptEnded(c.now, policy.AttemptOutcome{
 		ID:        request.policyID,
 		Attempt:   e.attempt.number,
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -31,15 +31,12 @@
 	history requestHistory
 
 	// Fields used only by the event loop.
-	// mustNotRunAgain reports that the request's class is not idempotent, or is so only by a key.
-	mustNotRunAgain bool
-
 	policyID     policy.RequestID // the request's ID in the Balancer; 0 if not registered
 	receivedAt   time.Duration    // on the Balancer's clock
 	completed    bool             // the request has its response, or its client has disconnected or cancelled it
 	attempts     []*attempt       // by attempt number
 	inFlight     int              // attempts that have not ended
-	abandoned    bool             // the client has disconnected or has cancelled the request
+	abandoned    bool             // requestRegistry.abandon was called
 	lastTimedOut bool             // whether the attempt that ended last timed out
 }
 
--- a/internal/core/request_registry.go
+++ b/internal/core/request_registry.go
@@ -35,34 +35,30 @@
 	return true
 }
 
-// complete marks a request as completed by its response and frees its Request-Id.
+// complete marks a request as completed and frees its Request-Id.
 func (r *requestRegistry) complete(request *Request) {
 	request.completed = true
 	r.ids.release(request.ID)
-	r.removeIfDone(request, time.Time{})
+	r.removeIfDone(request)
 }
 
-// abandon marks a request as completed because its client has disconnected or has cancelled it. The Request-Id of a
-// request that must not run again is freed when its last attempt has ended.
-func (r *requestRegistry) abandon(request *Request, now time.Time) {
-	if !request.mustNotRunAgain {
-		r.complete(request)
-		return
-	}
+// abandon marks a request that must not run twice as completed because its client has disconnected or has cancelled
+// it. Its Request-Id is freed when its last attempt has ended, or later if it may have run.
+func (r *requestRegistry) abandon(request *Request) {
 	request.completed = true
 	request.abandoned = true
-	r.removeIfDone(request, now)
+	r.removeIfDone(request)
 }
 
 // removeIfDone removes a request that is completed and has no attempt in flight.
-func (r *requestRegistry) removeIfDone(request *Request, now time.Time) {
+func (r *requestRegistry) removeIfDone(request *Request) {
 	if !request.completed || request.inFlight > 0 {
 		return
 	}
 	if _, registered := r.byID[request.policyID]; registered && request.abandoned {
 		r.ids.release(request.ID)
 		if request.history.mayHaveRun() {
-			r.ids.block(request.ID, now)
+			r.ids.block(request.ID, time.Now())
 		}
 	}
 	delete(r.byID, request.policyID)
--- a/internal/front/frontend/memory.go
+++ b/internal/front/frontend/memory.go
@@ -96,18 +96,16 @@
 	return err == nil && !account.closed
 }
 
-// EndWait ends a wait of Add as its timeout does, and reports whether Add was waiting.
-func (account *MemoryAccount) EndWait() bool {
+// EndWait ends a wait of Add, if there is one, as its timeout does.
+func (account *MemoryAccount) EndWait() {
 	if account == nil {
-		return false
+		return
 	}
 	account.mu.Lock()
 	defer account.mu.Unlock()
-	if account.cancelWait == nil {
-		return false
+	if account.cancelWait != nil {
+		account.cancelWait()
 	}
-	account.cancelWait()
-	return true
 }
 
 // Remove takes back a charge of bytes.
--- a/internal/front/rpcfront/close.go
+++ b/internal/front/rpcfront/close.go
@@ -20,7 +20,7 @@
 	if conn.state == connClosed {
 		return false
 	}
-	if !conn.isIdleLocked() || sockets.Inspect(conn.netConn) == sockets.InUse {
+	if !conn.isIdleLocked() || sockets.Inspect(conn.netConn) == sockets.Readable {
 		return false
 	}
 	conn.closeLocked(frontend.EvictionLingerTimeout)
--- a/internal/sockets/locked_reader.go
+++ b/internal/sockets/locked_reader.go
@@ -94,7 +94,7 @@
 // before have been handled, and no bytes are unread. If the process was paused or has little processor time, it
 // may not have read or handled bytes for some time, which says nothing about the peer. The caller holds the lock.
 func (reader *LockedReader) AwaitsPeerLocked() bool {
-	return reader.waiting && Inspect(reader.conn) != InUse
+	return reader.waiting && Inspect(reader.conn) != Readable
 }
 
 // readAfterDeadline calls readAvailable once, and returns the error of the wait if there are no bytes. If the process was
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -29,10 +29,10 @@
 
 // The states of a connection.
 const (
-	Idle   State = iota // open, without bytes to read
-	InUse               // there are bytes to read, or the state could not be read
-	Closed              // closed by the peer, or broken
-	Reset               // reset by the peer
+	Idle     State = iota // open, without bytes to read
+	Readable              // there are bytes to read, or the state could not be read
+	Closed                // closed by the peer, or broken
+	Reset                 // reset by the peer
 )
 
 // Inspect returns the state of a connection. It does not block. The system reports a reset only once: later
@@ -41,7 +41,7 @@
 	count, err := peek(conn)
 	switch {
 	case err == nil && count > 0, errors.Is(err, syscall.EINTR):
-		return InUse
+		return Readable
 	case errors.Is(err, syscall.EAGAIN):
 		return Idle
 	case errors.Is(err, syscall.ECONNRESET):
